--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# Entry points. Each target sets up the virtual environment it needs.
+PYTHON ?= python3
+BIN = .venv/bin
+PACKAGES = catkintiller catkintiller-node catkintiller-operator catkintiller-standins
+SEED ?= 1
+
+.PHONY: setup demo test lint format docs faults bench capacity clean
+
+setup: .venv/ready
+
+.venv/ready: requirements.txt $(PACKAGES:%=packages/%/pyproject.toml)
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --require-hashes -r requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(PACKAGES:%=-e packages/%)
+	touch $@
+
+demo: setup
+	$(BIN)/python -m catkintiller_standins.demo --seed $(SEED)
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check packages
+	$(BIN)/ruff check packages
+
+format: setup
+	$(BIN)/ruff check --fix packages
+	$(BIN)/ruff format packages
+
+docs: setup
+	$(BIN)/python -m catkintiller.reference > docs/SETTINGS.md
+
+faults: setup
+	$(BIN)/python -m catkintiller_standins.faults --seed $(SEED)
+
+bench: setup
+	$(BIN)/python -m catkintiller_standins.bench --seed $(SEED)
+
+capacity: setup
+	$(BIN)/python -m catkintiller_standins.capacity
+
+clean:
+	rm -rf .venv
--- /dev/null
+++ b/packages/catkintiller-node/src/catkintiller_node/__init__.py
@@ -0,0 +1,1 @@
+"""The node of catkintiller: one small process beside each endpoint."""
--- /dev/null
+++ b/packages/catkintiller-node/src/catkintiller_node/calls.py
@@ -0,0 +1,314 @@
+"""The arrival side: finds a serving node for a call and sees it through.
+
+One call may take several attempts. An attempt that certainly did not run is
+sent elsewhere a bounded number of times; one that may have run is repeated only
+if its kind is repeatable, and each such repeat is paid from the chain's budget.
+"""
+
+import secrets
+import time
+from typing import NamedTuple
+
+from catkintiller import (
+    balance,
+    budget,
+    data,
+    errors,
+    keys,
+    membership,
+    rank,
+    tree,
+)
+
+from . import decisions, metrics, remote
+
+MAX_REROUTES = 3
+MAX_REDIRECTS = 2
+RETRY_AFTER_MS = 1000
+
+_ELSEWHERE = frozenset(
+    (
+        data.Reason.LEAVING,
+        data.Reason.NO_ENDPOINT,
+        data.Reason.CONNECTION_LOST,
+        data.Reason.NO_SETTINGS,
+    )
+)
+_FULL = frozenset(
+    (
+        data.Reason.OVERLOADED,
+        data.Reason.QUEUE_TIMEOUT,
+        data.Reason.ENDPOINT_REFUSED,
+    )
+)
+
+
+class Arrival(NamedTuple):
+    """A call as it arrived, with its settings and context resolved.
+
+    ``expires`` is on the loop's clock; ``is_root`` tells that the call belongs to
+    no running call of the local endpoint.
+    """
+
+    kind: tree.KindSettings
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    key: str
+    context: data.CallContext
+    expires: float
+    is_root: bool
+
+
+class Router:
+    """Routes calls. One for each node.
+
+    :param members: membership of the deployment.
+    :param balancer: what this node knows of serving nodes.
+    :param sender: carries one attempt to a serving node, or runs it here.
+    """
+
+    def __init__(
+        self,
+        members: membership.Membership,
+        balancer: balance.Balancer,
+        sender: remote.Sender,
+        log: decisions.DecisionLog,
+        figures: metrics.Metrics,
+    ) -> None:
+        self._members = members
+        self._balancer = balancer
+        self._sender = sender
+        self._log = log
+        self._metrics = figures
+        self._ratios: dict[str, budget.RetryRatio] = {}
+
+    async def call(
+        self, arrival: Arrival, settings: tree.Tree, held: budget.ChainBudget
+    ) -> remote.Result:
+        """Makes a call and returns its whole answer.
+
+        :param held: the retries that this call may spend or pass on.
+        :raises errors.CallRefused: if there is no whole answer.
+        """
+        tried: set[str] = set()
+        redirects = 0
+        named = ""
+        while True:
+            member = self._choose(arrival, settings, tried, named)
+            result = await self._attempt(arrival, member, held)
+            refusal = result.answer.refusal
+            if refusal is None:
+                self._get_ratio(arrival).record_success(arrival.kind.retry_ratio)
+                return result
+            tried.add(member.incarnation)
+            if result.answer.winner and redirects < MAX_REDIRECTS:
+                redirects += 1
+                named = result.answer.winner
+                tried.discard(named)
+                continue
+            if not self._may_repeat(arrival, refusal, held, len(tried)):
+                raise errors.CallRefused(refusal)
+
+    def _choose(
+        self,
+        arrival: Arrival,
+        settings: tree.Tree,
+        tried: set[str],
+        named: str,
+    ) -> data.Member:
+        ticket = keys.parse_ticket(arrival.key) if arrival.key else None
+        if ticket or named:
+            return self._find_named(arrival, named or ticket.incarnation, tried)
+        serving = self._members.get_serving(arrival.kind.service)
+        members = [m for m in serving if m.incarnation not in tried]
+        if not members:
+            raise self._refuse(arrival, data.Reason.NO_ENDPOINT)
+        if arrival.key:
+            member = balance.choose_by_key(members, arrival.key)
+        else:
+            member = self._balance(arrival, settings, members)
+        if arrival.kind.shedding == "chain":
+            self._shed(arrival, member)
+        return member
+
+    def _find_named(
+        self, arrival: Arrival, incarnation: str, tried: set[str]
+    ) -> data.Member:
+        """Finds the one node that may run a key."""
+        member = self._members.get(incarnation)
+        gone = member is None or member.state >= data.MemberState.GONE
+        if gone or incarnation in tried:
+            raise errors.CallRefused(
+                data.Refusal(
+                    data.Reason.KEY_OUTCOME_LOST,
+                    data.Ran.UNKNOWN,
+                    "the node that may run this key does not answer",
+                    RETRY_AFTER_MS,
+                )
+            )
+        return member
+
+    def _balance(
+        self, arrival: Arrival, settings: tree.Tree, members: list[data.Member]
+    ) -> data.Member:
+        now = time.monotonic()
+        me = self._members.me
+        place = settings.get_place(me.region, me.zone)
+        slow_start_s = settings.get_endpoint(arrival.kind.service, "-").slow_start
+        candidate = self._balancer.choose(
+            now, members, place.spill, place.ejected_share, slow_start_s / 1000
+        )
+        self._log.write(
+            now,
+            "route",
+            candidate.member.address,
+            trace=arrival.context.trace_id,
+            service=arrival.kind.service,
+            kind=arrival.kind.kind,
+            candidates=len(members),
+            outstanding=candidate.outstanding,
+            in_flight=candidate.in_flight,
+            limit=candidate.limit,
+            latency_ms=round(candidate.latency_ms, 2),
+            cost=round(candidate.cost, 3),
+        )
+        return candidate.member
+
+    def _shed(self, arrival: Arrival, member: data.Member) -> None:
+        """Refuses a call here that the chain would refuse further down."""
+        now = time.monotonic()
+        level = self._balancer.get_level(now, member, arrival.kind.kind)
+        if arrival.context.rank >= level:
+            return
+        self._log.write(
+            now,
+            "shed",
+            "refused at arrival",
+            trace=arrival.context.trace_id,
+            service=arrival.kind.service,
+            kind=arrival.kind.kind,
+            rank=arrival.context.rank,
+            level=level,
+        )
+        raise self._refuse(arrival, data.Reason.SHED_AT_ARRIVAL)
+
+    async def _attempt(
+        self, arrival: Arrival, member: data.Member, held: budget.ChainBudget
+    ) -> remote.Result:
+        now = time.monotonic()
+        if arrival.expires <= now:
+            raise self._refuse(arrival, data.Reason.QUEUE_TIMEOUT)
+        keep = 1 if arrival.kind.repeatable else 0
+        share = held.lend_all_but(keep)
+        request = data.CallRequest(
+            secrets.token_hex(8),
+            member.incarnation,
+            arrival.kind.service,
+            arrival.kind.kind,
+            arrival.method,
+            arrival.path,
+            arrival.headers,
+            arrival.context._replace(
+                deadline_ms=int((arrival.expires - now) * 1000), retries=share
+            ),
+            arrival.key,
+            self._members.me.address,
+        )
+        self._balancer.record_sent(now, member.incarnation)
+        result = None
+        try:
+            result = await self._sender.send(member, request, arrival.body)
+        finally:
+            self._record(arrival, member, result)
+        held.take_back(share, result.answer.retries_left)
+        return result
+
+    def _record(
+        self, arrival: Arrival, member: data.Member, result: remote.Result | None
+    ) -> None:
+        now = time.monotonic()
+        if result is None:
+            self._balancer.record_done(now, member.incarnation, False)
+            return
+        answer = result.answer
+        if answer.source:
+            self._balancer.record_answer(
+                now, member.incarnation, arrival.kind.kind, answer.feedback
+            )
+        failed = is_failure(answer)
+        if self._balancer.record_done(now, member.incarnation, failed):
+            self._log.write(
+                now,
+                "eject",
+                member.address,
+                service=arrival.kind.service,
+                incarnation=member.incarnation,
+            )
+
+    def _may_repeat(
+        self,
+        arrival: Arrival,
+        refusal: data.Refusal,
+        held: budget.ChainBudget,
+        tries: int,
+    ) -> bool:
+        now = time.monotonic()
+        if refusal.ran is data.Ran.NO:
+            limit = MAX_REROUTES if refusal.reason in _ELSEWHERE else 1
+            movable = refusal.reason in _ELSEWHERE or refusal.reason in _FULL
+            repeat = movable and tries <= limit
+        else:
+            repeat = self._pay_retry(arrival, refusal, held)
+        self._log.write(
+            now,
+            "retry",
+            "again" if repeat else "given up",
+            trace=arrival.context.trace_id,
+            service=arrival.kind.service,
+            reason=refusal.reason.value,
+            ran=refusal.ran.value,
+            tries=tries,
+            budget=held.left,
+        )
+        return repeat
+
+    def _pay_retry(
+        self, arrival: Arrival, refusal: data.Refusal, held: budget.ChainBudget
+    ) -> bool:
+        if not arrival.kind.repeatable:
+            return False
+        if refusal.reason is not data.Reason.CONNECTION_LOST:
+            return False
+        ratio = self._get_ratio(arrival)
+        if not ratio.has_token() or not held.spend():
+            return False
+        ratio.spend()
+        self._metrics.count("retries", arrival.kind.service, arrival.kind.kind)
+        return True
+
+    def _get_ratio(self, arrival: Arrival) -> budget.RetryRatio:
+        return self._ratios.setdefault(arrival.kind.service, budget.RetryRatio())
+
+    def _refuse(self, arrival: Arrival, reason: data.Reason) -> errors.CallRefused:
+        self._metrics.count("refused", arrival.kind.service, reason.value)
+        return errors.CallRefused(data.Refusal(reason, data.Ran.NO, "", RETRY_AFTER_MS))
+
+
+def is_failure(answer: data.CallAnswer) -> bool:
+    """Tells whether an answer speaks against the node that gave it."""
+    if answer.refusal is None:
+        return answer.status >= 500
+    return answer.refusal.ran is not data.Ran.NO or answer.refusal.reason in (
+        data.Reason.NO_ENDPOINT,
+        data.Reason.CONNECTION_LOST,
+    )
+
+
+def make_context(
+    trace_id: str, priority: int, depth: int, deadline_ms: int, retries: int
+) -> data.CallContext:
+    """Makes the context of a call."""
+    call_rank = rank.compute_rank(priority, depth, trace_id)
+    return data.CallContext(trace_id, call_rank, deadline_ms, retries, depth)
--- /dev/null
+++ b/packages/catkintiller-node/src/catkintiller_node/control.py
@@ -0,0 +1,29 @@
+"""Dispatches the paths below ``/-/`` to commands and queries."""
+
+from aiohttp import web
+
+from . import control_commands, control_queries, node
+
+_ROUTES = {
+    ("POST", "announce"): control_commands.announce,
+    ("POST", "drain"): control_commands.drain,
+    ("POST", "tickets"): control_commands.draw_tickets,
+    ("GET", "status"): control_queries.status,
+    ("GET", "members"): control_queries.list_members,
+    ("GET", "metrics"): control_queries.show_metrics,
+}
+
+
+class ControlDesk:
+    """Answers control requests of one node."""
+
+    def __init__(self, own: node.Node) -> None:
+        self._node = own
+
+    async def handle(self, request: web.BaseRequest) -> web.Response:
+        """Answers one control request; 404 if there is no such path."""
+        name = request.path.split("/")[2]
+        route = _ROUTES.get((request.method, name))
+        if route is None:
+            return web.json_response({"error": "no-such-path"}, status=404)
+        return await route(self._node, request)
--- /dev/null
+++ b/packages/catkintiller-node/src/catkintiller_node/endpoint.py
@@ -0,0 +1,117 @@
+"""Client of the endpoint beside this node."""
+
+from typing import NamedTuple
+
+import aiohttp
+import yarl
+from catkintiller import data, errors
+
+from . import headers
+
+
+class EndpointInfo(NamedTuple):
+    """What an endpoint announced of itself; ``slots`` 0 if it named none."""
+
+    service: str
+    name: str
+    address: str
+    slots: int
+
+
+class EndpointAnswer(NamedTuple):
+    """A whole answer of the endpoint."""
+
+    status: int
+    headers: headers.Headers
+    body: bytes
+
+
+class EndpointClient:
+    """Sends requests to the endpoint, each exactly once.
+
+    :param http: session of this node; the caller closes it.
+    """
+
+    def __init__(self, http: aiohttp.ClientSession) -> None:
+        self._http = http
+
+    async def call(
+        self,
+        info: EndpointInfo,
+        request: data.CallRequest,
+        body: bytes,
+        timeout_s: float,
+        answer_limit: int,
+    ) -> EndpointAnswer:
+        """Sends one request and reads the whole answer.
+
+        :raises errors.CallRefused: if there is no whole answer; its refusal says
+            whether the request ran.
+        """
+        sent = headers.make_endpoint_headers(
+            request.headers,
+            request.context.trace_id,
+            request.call_id,
+            max(1, int(timeout_s * 1000)),
+        )
+        url = yarl.URL(f"http://{info.address}{request.path}", encoded=True)
+        timeout = aiohttp.ClientTimeout(total=max(0.001, timeout_s))
+        try:
+            async with self._http.request(
+                request.method,
+                url,
+                headers=sent,
+                data=body or None,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                return await _read_answer(response, answer_limit)
+        except aiohttp.ClientConnectorError as error:
+            raise _refuse(data.Reason.NO_ENDPOINT, data.Ran.NO, error) from error
+        except TimeoutError as error:
+            raise _refuse(data.Reason.DEADLINE, data.Ran.UNKNOWN, error) from error
+        except aiohttp.ClientError as error:
+            reason = data.Reason.CONNECTION_LOST
+            raise _refuse(reason, data.Ran.UNKNOWN, error) from error
+
+
+async def _read_answer(
+    response: aiohttp.ClientResponse, answer_limit: int
+) -> EndpointAnswer:
+    if response.status == 503 and response.headers.get(headers.RAN) == "no":
+        detail = "the endpoint refused the request"
+        raise errors.CallRefused(
+            data.Refusal(data.Reason.ENDPOINT_REFUSED, data.Ran.NO, detail)
+        )
+    parts = []
+    size = 0
+    async for chunk in response.content.iter_any():
+        size += len(chunk)
+        if size > answer_limit:
+            response.close()
+            detail = f"the answer is larger than {answer_limit} bytes"
+            raise errors.CallRefused(
+                data.Refusal(data.Reason.ANSWER_TOO_LARGE, data.Ran.YES, detail)
+            )
+        parts.append(chunk)
+    kept = headers.filter_headers(response.raw_headers)
+    return EndpointAnswer(response.status, kept, b"".join(parts))
+
+
+def _refuse(reason: data.Reason, ran: data.Ran, error: Exception) -> errors.CallRefused:
+    detail = f"{type(error).__name__} at the endpoint"
+    return errors.CallRefused(data.Refusal(reason, ran, detail))
+
+
+def make_session() -> aiohttp.ClientSession:
+    """Makes the HTTP session of a node."""
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=("User-Agent", "Accept-Encoding"),
+    )
+    # aiohttp would send a request again by itself when a kept connection
+    # breaks. That would be an execution outside of every retry budget.
+    session._retry_connection = False
+    return session
--- /dev/null
+++ b/packages/catkintiller-node/src/catkintiller_node/front.py
@@ -0,0 +1,213 @@
+"""HTTP in: calls of callers and of the local endpoint.
+
+The first part of the path names the service, the rest goes to its endpoint.
+Paths below ``/-/`` are the node's own.
+"""
+
+import logging
+import time
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+from catkintiller import budget, data, errors, keys, tree
+
+from . import calls, headers, metrics, parents, problems, remote
+
+logger = logging.getLogger("catkintiller.front")
+
+CONTROL_PREFIX = "/-/"
+
+Control = Callable[[web.BaseRequest], Awaitable[web.Response]]
+
+
+class Front:
+    """Answers HTTP requests. One for each node.
+
+    :param router: routes calls.
+    :param running: calls that run at the local endpoint.
+    :param control: answers the paths below ``/-/``.
+    """
+
+    def __init__(
+        self,
+        router: calls.Router,
+        running: parents.Parents,
+        control: Control,
+        figures: metrics.Metrics,
+    ) -> None:
+        self._router = router
+        self._parents = running
+        self._control = control
+        self._metrics = figures
+        self._tree: tree.Tree | None = None
+        self._closing = False
+        self._in_flight = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Calls that arrived and are not answered."""
+        return self._in_flight
+
+    def set_tree(self, settings: tree.Tree) -> None:
+        """Takes changed settings into use."""
+        self._tree = settings
+
+    def close_connections(self) -> None:
+        """Asks callers, with each answer, to come back to another node."""
+        self._closing = True
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers one HTTP request."""
+        if request.path.startswith(CONTROL_PREFIX):
+            return await self._control(request)
+        self._in_flight += 1
+        try:
+            response = await self._answer(request)
+        except errors.CallRefused as error:
+            response = problems.make_problem(error.refusal)
+        finally:
+            self._in_flight -= 1
+        if self._closing:
+            response.force_close()
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.Response:
+        if self._tree is None:
+            raise _refuse(data.Reason.NO_SETTINGS, "no settings have been read yet")
+        started = time.monotonic()
+        settings = self._tree
+        arrival, parent = await self._resolve(request, settings, started)
+        held = self._hold_budget(arrival, parent)
+        lent = held.left
+        try:
+            result = await self._router.call(arrival, settings, held)
+        except errors.CallRefused as error:
+            self._note_chain_level(error.refusal, arrival, parent)
+            raise
+        finally:
+            if parent:
+                parent.budget.take_back(lent, held.left)
+        self._record(arrival, result, started)
+        return _make_response(result)
+
+    async def _resolve(
+        self, request: web.BaseRequest, settings: tree.Tree, now: float
+    ) -> tuple[calls.Arrival, parents.Parent | None]:
+        """Resolves the settings and the context of a call."""
+        service, path = _split_target(request.rel_url.raw_path_qs)
+        kind_name = settings.find_kind(service, request.method, path)
+        kind = settings.get_kind(service, kind_name)
+        body = await _read_body(request, kind.max_body)
+        parent_id = headers.get_parent_call(request.headers)
+        parent = self._parents.get(parent_id) if parent_id else None
+        if parent_id and parent is None:
+            raise _refuse(data.Reason.PARENT_GONE, "the calling request has ended")
+        allowed_ms = headers.get_deadline_ms(request.headers)
+        deadline_ms = min(allowed_ms or kind.deadline, kind.deadline)
+        expires = now + deadline_ms / 1000
+        if parent:
+            expires = min(expires, parent.expires)
+            context = parent.request.context._replace(
+                rank=self._get_child_rank(parent),
+                depth=parent.request.context.depth + 1,
+            )
+        else:
+            trace_id = headers.get_trace_id(request.headers)
+            context = calls.make_context(trace_id, kind.priority, 0, 0, kind.retries)
+        key = _get_key(request, kind, parent is None)
+        kept = headers.filter_headers(request.raw_headers)
+        return (
+            calls.Arrival(
+                kind,
+                request.method,
+                path,
+                kept,
+                body,
+                key,
+                context,
+                expires,
+                parent is None,
+            ),
+            parent,
+        )
+
+    @staticmethod
+    def _get_child_rank(parent: parents.Parent) -> int:
+        context = parent.request.context
+        priority = calls.rank.get_priority(context.rank)
+        return calls.rank.compute_rank(priority, context.depth + 1, context.trace_id)
+
+    @staticmethod
+    def _hold_budget(
+        arrival: calls.Arrival, parent: parents.Parent | None
+    ) -> budget.ChainBudget:
+        if parent is None:
+            return budget.ChainBudget(arrival.context.retries)
+        return budget.ChainBudget(parent.budget.lend_share())
+
+    @staticmethod
+    def _note_chain_level(
+        refusal: data.Refusal, arrival: calls.Arrival, parent: parents.Parent | None
+    ) -> None:
+        """Keeps the level at which a child call was shed, for the chain above."""
+        shed = (data.Reason.SHED_AT_ARRIVAL, data.Reason.OVERLOADED)
+        if parent and refusal.reason in shed:
+            own = parent.request.context.rank
+            parent.chain_level = max(parent.chain_level, own + 1)
+
+    def _record(
+        self, arrival: calls.Arrival, result: remote.Result, started: float
+    ) -> None:
+        total_ms = (time.monotonic() - started) * 1000
+        answer = result.answer
+        added_ms = total_ms - answer.endpoint_ms - answer.queue_ms
+        service, kind = arrival.kind.service, arrival.kind.kind
+        self._metrics.record_ms("added", service, kind, added_ms)
+        self._metrics.count("answered", service, kind)
+
+
+def _split_target(raw: str) -> tuple[str, str]:
+    service, slash, rest = raw[1:].partition("/")
+    return service, slash + rest if slash else "/"
+
+
+async def _read_body(request: web.BaseRequest, limit: int) -> bytes:
+    if not request.can_read_body:
+        return b""
+    parts = []
+    size = 0
+    async for chunk in request.content.iter_any():
+        size += len(chunk)
+        if size > limit:
+            raise _refuse(data.Reason.BODY_TOO_LARGE, f"more than {limit} bytes")
+        parts.append(chunk)
+    return b"".join(parts)
+
+
+def _get_key(request: web.BaseRequest, kind: tree.KindSettings, is_root: bool) -> str:
+    """Gets the idempotency key of a call that must not run twice.
+
+    A child call without a key is sent once and never repeated.
+    """
+    if kind.repeatable:
+        return ""
+    key = request.headers.get(headers.IDEMPOTENCY_KEY, "").strip('"')
+    if not key and is_root:
+        detail = f"a {kind.kind or kind.service} request needs an Idempotency-Key"
+        raise _refuse(data.Reason.KEY_MISSING, detail)
+    if key and not keys.is_valid_key(key):
+        raise _refuse(data.Reason.KEY_INVALID, f"at most {keys.MAX_KEY_LENGTH} ASCII")
+    return key
+
+
+def _refuse(reason: data.Reason, detail: str) -> errors.CallRefused:
+    return errors.CallRefused(data.Refusal(reason, data.Ran.NO, detail))
+
+
+def _make_response(result: remote.Result) -> web.Response:
+    response = web.Response(status=result.answer.status, body=result.body)
+    # aiohttp sets a content type of its own, the endpoint's replaces it.
+    response.headers.popall("Content-Type", None)
+    for name, value in result.answer.headers:
+        response.headers.add(name, value)
+    return response
--- /dev/null
+++ b/packages/catkintiller-node/src/catkintiller_node/metrics.py
@@ -0,0 +1,73 @@
+"""Latencies and counts of one node, for ``/-/metrics`` and ``/-/status``."""
+
+import collections
+from typing import NamedTuple
+
+from hdrh import histogram
+
+LOWEST_US = 1
+HIGHEST_US = 60_000_000
+DIGITS = 2
+QUANTILES = (50.0, 99.0)
+
+
+class Latency(NamedTuple):
+    """Quantiles of one latency, in milliseconds."""
+
+    count: int
+    p50_ms: float
+    p99_ms: float
+
+
+class Metrics:
+    """Histograms and counters by name, service and class."""
+
+    def __init__(self) -> None:
+        self._histograms: dict[tuple[str, str, str], histogram.HdrHistogram] = {}
+        self._counts: collections.Counter[tuple[str, str, str]] = collections.Counter()
+
+    def record_ms(self, name: str, service: str, label: str, value: float) -> None:
+        """Records a latency in milliseconds."""
+        key = (name, service, label)
+        found = self._histograms.get(key)
+        if found is None:
+            found = histogram.HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+            self._histograms[key] = found
+        found.record_value(max(LOWEST_US, min(HIGHEST_US, int(value * 1000))))
+
+    def count(self, name: str, service: str, label: str, amount: int = 1) -> None:
+        """Adds to a counter."""
+        self._counts[name, service, label] += amount
+
+    def get_count(self, name: str) -> int:
+        """Gets a counter's sum over services and labels."""
+        return sum(n for key, n in self._counts.items() if key[0] == name)
+
+    def summarize(self) -> dict[str, Latency]:
+        """Gets the quantiles of each latency, by ``name service label``."""
+        return {
+            " ".join(key): Latency(
+                found.get_total_count(),
+                *(found.get_value_at_percentile(q) / 1000 for q in QUANTILES),
+            )
+            for key, found in sorted(self._histograms.items())
+        }
+
+    def format_text(self) -> str:
+        """Writes everything in the Prometheus text format."""
+        lines = []
+        for (name, service, label), count in sorted(self._counts.items()):
+            tags = f'service="{service}",label="{label}"'
+            lines.append(f"catkintiller_{name}_total{{{tags}}} {count}")
+        for (name, service, label), found in sorted(self._histograms.items()):
+            tags = f'service="{service}",label="{label}"'
+            for quantile in QUANTILES:
+                value = found.get_value_at_percentile(quantile) / 1_000_000
+                lines.append(
+                    f"catkintiller_{name}_seconds{{{tags},"
+                    f'quantile="{quantile / 100:g}"}} {value:g}'
+                )
+            lines.append(
+                f"catkintiller_{name}_seconds_count{{{tags}}} {found.get_total_count()}"
+            )
+        return "\n".join(lines) + "\n"
--- /dev/null
+++ b/packages/catkintiller-node/src/catkintiller_node/serving.py
@@ -0,0 +1,235 @@
+"""The serving side: admission of calls to the endpoint beside this node."""
+
+import asyncio
+import time
+from typing import NamedTuple
+
+from catkintiller import admission, data, errors, limits, rank, tree
+
+from . import decisions, endpoint, metrics, parents
+
+CHAIN_LEVEL_TTL_S = 0.25
+RETRY_AFTER_MS = 1000
+IDLE_FEEDBACK = data.Feedback(rank.LOWEST, rank.LOWEST, 0, 1, 0.0)
+
+
+class Served(NamedTuple):
+    """A whole answer and what serving it cost."""
+
+    answer: endpoint.EndpointAnswer
+    retries_left: int
+    queue_ms: float
+    endpoint_ms: float
+
+
+class Serving:
+    """Runs calls at the endpoint, within its limit and in order of rank.
+
+    :param client: client of the endpoint.
+    :param running: registry of running calls.
+    """
+
+    def __init__(
+        self,
+        client: endpoint.EndpointClient,
+        running: parents.Parents,
+        log: decisions.DecisionLog,
+        figures: metrics.Metrics,
+    ) -> None:
+        self._client = client
+        self._parents = running
+        self._log = log
+        self._metrics = figures
+        self._info: endpoint.EndpointInfo | None = None
+        self._leaving = False
+        self._tree: tree.Tree | None = None
+        self._applied: tuple | None = None
+        self._admission = admission.Admission(limits.StaticLimiter(1), 0)
+        self._chain_levels: dict[str, tuple[int, float]] = {}
+        self._serving = 0
+
+    @property
+    def info(self) -> endpoint.EndpointInfo | None:
+        """The announced endpoint."""
+        return self._info
+
+    @property
+    def accepting(self) -> bool:
+        """Whether new calls are served."""
+        return self._info is not None and not self._leaving
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the endpoint takes no new calls because it will stop."""
+        return self._leaving
+
+    @property
+    def in_flight(self) -> int:
+        """Calls that wait for the endpoint or run there."""
+        return self._serving
+
+    def set_endpoint(self, info: endpoint.EndpointInfo) -> None:
+        """Takes an announcement. A new address is a new endpoint process."""
+        if self._info is None or self._info.address != info.address:
+            self._leaving = False
+        self._info = info
+        self._configure()
+
+    def set_tree(self, settings: tree.Tree) -> None:
+        """Takes changed settings into use."""
+        self._tree = settings
+        self._configure()
+
+    def leave(self) -> None:
+        """Refuses new calls from now on; running ones go on."""
+        self._leaving = True
+
+    def tick(self, now: float) -> None:
+        """Lets admission expire waiters and lower its level."""
+        self._admission.tick(now)
+
+    def get_feedback(self, now: float, kind: str) -> data.Feedback:
+        """Gets what this node tells callers of a kind with each answer."""
+        level, expires = self._chain_levels.get(kind, (rank.LOWEST, 0.0))
+        return data.Feedback(
+            self._admission.level,
+            level if expires > now else rank.LOWEST,
+            self._admission.in_flight + self._admission.waiting,
+            self._admission.limit,
+            self._admission.latency_s * 1000,
+        )
+
+    def refuse_if_unable(self, request: data.CallRequest) -> None:
+        """Refuses a call that this node can not serve at all.
+
+        :raises errors.CallRefused: with ``ran`` no.
+        """
+        if self._info is None or self._info.service != request.service:
+            raise self._refuse(request, data.Reason.NO_ENDPOINT)
+        if self._leaving:
+            raise self._refuse(request, data.Reason.LEAVING)
+
+    async def serve(
+        self,
+        request: data.CallRequest,
+        body: bytes,
+        patience_s: float = 0.0,
+    ) -> Served:
+        """Runs a call once.
+
+        :param patience_s: time that the endpoint gets beyond the deadline, for
+            work whose outcome must become known.
+        :raises errors.CallRefused: if there is no whole answer.
+        """
+        self.refuse_if_unable(request)
+        arrived = time.monotonic()
+        deadline = arrived + request.context.deadline_ms / 1000
+        self._serving += 1
+        try:
+            await self._admit(request, deadline)
+            started = time.monotonic()
+            queue_ms = (started - arrived) * 1000
+            running = self._parents.add(request, deadline + patience_s)
+            answer = await self._run(request, body, running, started)
+        finally:
+            self._serving -= 1
+        endpoint_ms = (time.monotonic() - started) * 1000
+        self._metrics.record_ms("queue", request.service, request.kind, queue_ms)
+        self._metrics.record_ms("endpoint", request.service, request.kind, endpoint_ms)
+        return Served(answer, running.budget.left, queue_ms, endpoint_ms)
+
+    async def _run(
+        self,
+        request: data.CallRequest,
+        body: bytes,
+        running: parents.Parent,
+        started: float,
+    ) -> endpoint.EndpointAnswer:
+        failed = True
+        reached = True
+        self._metrics.count("runs", request.service, request.kind)
+        try:
+            max_body = self._tree.get_kind(request.service, request.kind).max_body
+            timeout_s = running.expires - started
+            answer = await self._client.call(
+                self._info, request, body, timeout_s, max_body
+            )
+            failed = answer.status >= 500
+            return answer
+        except errors.CallRefused as error:
+            reached = error.refusal.ran is not data.Ran.NO
+            raise
+        finally:
+            now = time.monotonic()
+            self._parents.remove(request.call_id)
+            if running.chain_level > rank.LOWEST:
+                expires = now + CHAIN_LEVEL_TTL_S
+                self._chain_levels[request.kind] = (running.chain_level, expires)
+            if reached:
+                self._admission.finish(now, now - started, failed)
+            else:
+                self._admission.release(now)
+
+    async def _admit(self, request: data.CallRequest, deadline: float) -> None:
+        loop = asyncio.get_running_loop()
+        turn: asyncio.Future[data.Reason | None] = loop.create_future()
+        granted = False
+
+        def wake(reason: data.Reason | None) -> None:
+            nonlocal granted
+            granted = reason is None
+            if not turn.done():
+                turn.set_result(reason)
+
+        call_rank = request.context.rank
+        verdict = self._admission.offer(time.monotonic(), call_rank, deadline, wake)
+        self._log_verdict(request, verdict)
+        if verdict is admission.Verdict.RUN:
+            return
+        if verdict is admission.Verdict.REFUSE:
+            raise self._refuse(request, data.Reason.OVERLOADED)
+        try:
+            reason = await turn
+        except asyncio.CancelledError:
+            self._admission.withdraw(wake)
+            if granted:
+                self._admission.release(time.monotonic())
+            raise
+        if reason is not None:
+            raise self._refuse(request, reason)
+
+    def _log_verdict(
+        self, request: data.CallRequest, verdict: admission.Verdict
+    ) -> None:
+        self._log.write(
+            time.monotonic(),
+            "admit",
+            verdict.value,
+            call=request.call_id,
+            service=request.service,
+            kind=request.kind,
+            rank=request.context.rank,
+            level=self._admission.level,
+            in_flight=self._admission.in_flight,
+            waiting=self._admission.waiting,
+            limit=self._admission.limit,
+        )
+
+    def _refuse(
+        self, request: data.CallRequest, reason: data.Reason
+    ) -> errors.CallRefused:
+        self._metrics.count("refused", request.service, reason.value)
+        return errors.CallRefused(data.Refusal(reason, data.Ran.NO, "", RETRY_AFTER_MS))
+
+    def _configure(self) -> None:
+        if self._tree is None or self._info is None:
+            return
+        found = self._tree.get_endpoint(self._info.service, self._info.name)
+        slots = min(found.slots, self._info.slots or found.slots)
+        applied = (found, slots)
+        if applied == self._applied:
+            return
+        self._applied = applied
+        limiter = limits.make_limiter(found.concurrency, slots, found.favour)
+        shed = found.shedding != "off"
+        self._admission.configure(limiter, found.queue_time / 1000, shed)
--- /dev/null
+++ b/packages/catkintiller-node/src/catkintiller_node/tickets.py
@@ -0,0 +1,75 @@
+"""Draws ticket keys from the node that will run them."""
+
+import asyncio
+import secrets
+
+from catkintiller import data, errors, membership, tree
+
+from . import keyed, mesh
+
+MAX_TICKETS = 100
+TIMEOUT_S = 1.0
+
+
+class TicketDesk:
+    """Draws tickets here or from another node.
+
+    :param members: membership of the deployment.
+    """
+
+    def __init__(
+        self,
+        members: membership.Membership,
+        transport: mesh.Mesh,
+        keyed_server: keyed.KeyedServing,
+    ) -> None:
+        self._members = members
+        self._mesh = transport
+        self._keyed = keyed_server
+        self._pending: dict[str, asyncio.Future[tuple[str, ...]]] = {}
+
+    async def draw(
+        self, member: data.Member, settings: tree.Tree, count: int
+    ) -> tuple[str, ...]:
+        """Draws tickets bound to ``member``.
+
+        :raises errors.CallRefused: if the member does not answer in time.
+        """
+        count = max(1, min(MAX_TICKETS, count))
+        if member.incarnation == self._members.me.incarnation:
+            retention = settings.get_kind(member.service, "").key_retention
+            return tuple(self._keyed.draw_tickets(retention / 1000, count))
+        call_id = secrets.token_hex(8)
+        done = asyncio.get_running_loop().create_future()
+        self._pending[call_id] = done
+        me = self._members.me
+        request = data.TicketRequest(call_id, member.incarnation, count, me.address)
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                self._mesh.send(member.address, request)
+                return await done
+        except TimeoutError as error:
+            raise errors.CallRefused(
+                data.Refusal(data.Reason.NO_ENDPOINT, data.Ran.NO)
+            ) from error
+        finally:
+            del self._pending[call_id]
+
+    def receive_request(
+        self, request: data.TicketRequest, settings: tree.Tree | None
+    ) -> None:
+        """Draws tickets for another node."""
+        me = self._members.me
+        if request.target != me.incarnation or settings is None:
+            return
+        retention = settings.get_kind(me.service, "").key_retention
+        count = max(1, min(MAX_TICKETS, request.count))
+        tickets = tuple(self._keyed.draw_tickets(retention / 1000, count))
+        answer = data.TicketAnswer(request.call_id, me.incarnation, tickets)
+        self._mesh.send(request.reply_to, answer)
+
+    def receive_answer(self, answer: data.TicketAnswer) -> None:
+        """Hands tickets to whoever waits for them."""
+        done = self._pending.get(answer.call_id)
+        if done and not done.done():
+            done.set_result(answer.tickets)
--- /dev/null
+++ b/packages/catkintiller-operator/src/catkintiller_operator/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of catkintiller for operators."""
--- /dev/null
+++ b/packages/catkintiller-operator/src/catkintiller_operator/settings_commands.py
@@ -0,0 +1,130 @@
+"""Commands that change the settings."""
+
+import sys
+import time
+
+from catkintiller import data, fold, validate
+
+from . import exits, nodes, render, settings_queries, store
+
+WAIT_S = 30.0
+POLL_S = 0.2
+
+
+def commit_settings(
+    log: str, file: str, author: str, message: str, dry_run: bool, rebase: bool
+) -> store.Submitted | None:
+    """Commits the lines of a file that differ from the settings in force.
+
+    :returns: what became of the commit, ``None`` if there was nothing to do.
+    """
+    entries = settings_queries.load_entries(file)
+    state = store.load_state(log)
+    changes = settings_queries.find_changes(state, entries)
+    if not changes or dry_run:
+        return None
+    submitted = store.submit_commit(
+        log, store.make_commit(state, changes, author, message)
+    )
+    outcome = submitted.outcome
+    if rebase and outcome and can_rebase(state, outcome):
+        state = store.load_state(log)
+        commit = store.make_commit(state, changes, author, message)
+        submitted = store.submit_commit(log, commit)
+    return submitted
+
+
+def can_rebase(state: data.SettingsState, outcome: data.Outcome) -> bool:
+    """Tells whether a rejected commit touches no setting that the winner set.
+
+    :param state: the settings that the author saw.
+    """
+    if outcome.kind is not data.OutcomeKind.CONFLICT:
+        return False
+    seen = {
+        change: settings_queries.get_text(state, change)
+        for change in outcome.commit.changes
+    }
+    for item in outcome.conflicts:
+        mine = [c for c in outcome.commit.changes if c.path == item.path]
+        theirs = dict(part.split("=", 1) for part in item.theirs.split(", "))
+        for change in mine:
+            now = theirs.get(change.name, "None")
+            if now != seen[change].replace("-", "None", seen[change] == "-"):
+                return False
+    return True
+
+
+def revert_commit(
+    log: str, commit_id: str, author: str
+) -> tuple[store.Submitted | None, str]:
+    """Commits the values from before another commit.
+
+    :returns: what became of it, and why it could not be done if ``None``.
+    """
+    state = store.load_state(log)
+    outcome = fold.find_outcome(state, commit_id)
+    if outcome is None:
+        return None, "no such commit among the newest"
+    if outcome.kind is not data.OutcomeKind.ACCEPTED:
+        return None, f"the commit was not accepted but {outcome.kind.value}"
+    message = f"revert {commit_id}: {outcome.commit.message}"
+    commit = store.make_commit(state, outcome.previous, author, message)
+    return store.submit_commit(log, commit), ""
+
+
+def report_submitted(submitted: store.Submitted) -> int:
+    """Tells the operator what became of a commit."""
+    outcome = submitted.outcome
+    if outcome is None:
+        print(
+            f"commit {submitted.commit_id}: outcome unknown; ask later with "
+            f"`catkintiller settings log`",
+            file=sys.stderr,
+        )
+        return exits.OUTCOME_UNKNOWN
+    print(f"commit {submitted.commit_id}: {outcome.kind.value} at {outcome.offset}")
+    for item in outcome.conflicts:
+        print(
+            f"  {item.path}: based on {item.base}, now at {item.current} by commit "
+            f"{item.winner}; yours: {item.yours}; theirs: {item.theirs}",
+            file=sys.stderr,
+        )
+    for problem in outcome.problems:
+        print("  " + validate.format_problem(problem), file=sys.stderr)
+    return {
+        data.OutcomeKind.ACCEPTED: exits.OK,
+        data.OutcomeKind.CONFLICT: exits.CONFLICT,
+        data.OutcomeKind.INVALID: exits.BAD_SETTINGS,
+    }[outcome.kind]
+
+
+def wait_in_force(node: str, offset: int) -> int:
+    """Waits until every member runs settings at or after an offset."""
+    deadline = time.monotonic() + WAIT_S
+    while True:
+        laggards, total = find_laggards(node, offset)
+        if not laggards:
+            print(f"in force at all {total} nodes")
+            return exits.OK
+        if time.monotonic() > deadline:
+            print(f"in force at {total - len(laggards)} of {total} nodes; lagging:")
+            render.print_table(["node", "offset"], laggards)
+            return exits.FAULT_FOUND
+        time.sleep(POLL_S)
+
+
+def find_laggards(node: str, offset: int) -> tuple[list[list[object]], int]:
+    """Finds the members whose settings are older than an offset.
+
+    :returns: address and offset of each, and the number of members asked.
+    """
+    members = nodes.fetch(node, "/-/members")["members"]
+    addresses = [m["http"] for m in members if m["state"] in ("alive", "suspect")]
+    laggards = []
+    answers = nodes.fetch_all(addresses, "/-/status")
+    for address, status in zip(addresses, answers, strict=True):
+        found = status["settings_offset"] if status else "no answer"
+        if status is None or found < offset:
+            laggards.append([address, found])
+    return laggards, len(addresses)
--- /dev/null
+++ b/packages/catkintiller-standins/src/catkintiller_standins/deployment.py
@@ -0,0 +1,331 @@
+"""Starts and stops a deployment of real processes on loopback.
+
+Only the development tools start processes; the product never does.
+"""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from typing import NamedTuple
+
+import aiohttp
+import msgspec
+
+from . import endpoint, load, shape
+
+MESH_KEY = "5f" * 32
+_NODE_MODULE = "catkintiller_node.main"
+READY_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 60.0
+
+
+class Slot(NamedTuple):
+    """A VM's place: one endpoint and the node beside it."""
+
+    name: str
+    service: str
+    zone: str
+    slots: int
+    node_port: int
+    mesh_port: int
+    endpoint_port: int
+
+
+class DeploymentFailed(Exception):
+    """A deployment did not become ready, or did not stop, in time."""
+
+
+def find_ports(count: int) -> list[int]:
+    """Finds free ports on loopback."""
+    sockets = []
+    for _ in range(count):
+        found = socket.socket()
+        found.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        found.bind(("127.0.0.1", 0))
+        sockets.append(found)
+    ports = [found.getsockname()[1] for found in sockets]
+    for found in sockets:
+        found.close()
+    return ports
+
+
+class Deployment:
+    """The processes of one deployment.
+
+    :param form: shape of the deployment.
+    :param settings: file of the settings tree to commit first.
+    :param folder: folder for plans, ledgers and logs.
+    :param seed: seed of everything random in the stand-ins.
+    """
+
+    def __init__(
+        self, form: shape.Shape, settings: str, folder: str, seed: int
+    ) -> None:
+        self._shape = form
+        self._settings = settings
+        self._folder = folder
+        self._seed = seed
+        self._processes: dict[str, asyncio.subprocess.Process] = {}
+        self.slots: list[Slot] = []
+        self.advertised: dict[str, str] = {}
+        self.endpoint_aliases: dict[str, str] = {}
+        self._assign()
+
+    @property
+    def folder(self) -> str:
+        """Folder with the plans, ledgers and logs."""
+        return self._folder
+
+    @property
+    def log_url(self) -> str:
+        """URL of the log service."""
+        return f"http://127.0.0.1:{self._log_port}"
+
+    @property
+    def nodes(self) -> list[str]:
+        """HTTP addresses of the nodes."""
+        return [f"127.0.0.1:{slot.node_port}" for slot in self.slots]
+
+    def get_slot(self, name: str) -> Slot:
+        """Gets a VM's place by the name of its endpoint."""
+        return next(slot for slot in self.slots if slot.name == name)
+
+    def get_pid(self, process: str) -> int:
+        """Gets the process id of ``log``, ``node NAME`` or ``endpoint NAME``."""
+        return self._processes[process].pid
+
+    async def start(self, commit: bool = True) -> None:
+        """Starts everything, commits the settings and waits until all serve."""
+        await self.start_log()
+        for slot in self.slots:
+            await self.start_slot(slot)
+        if commit:
+            await self.wait_listening()
+            await self.commit(self._settings)
+            await self.wait_ready()
+
+    async def start_log(self) -> None:
+        """Starts the log service stand-in."""
+        module = "catkintiller_standins.log_service"
+        await self._spawn("log", ["-m", module, "--port", str(self._log_port)])
+
+    async def start_slot(self, slot: Slot) -> None:
+        """Starts a VM: the node and the endpoint beside it."""
+        await self.start_node(slot)
+        await self.start_endpoint(slot)
+
+    async def start_node(self, slot: Slot) -> None:
+        """Starts a node."""
+        file = os.path.join(self._folder, f"{slot.name}.ini")
+        with open(file, "w", encoding="utf-8") as stream:
+            stream.write(self._format_node(slot))
+        await self._spawn(f"node {slot.name}", ["-m", _NODE_MODULE, file])
+
+    async def start_endpoint(self, slot: Slot) -> None:
+        """Starts an endpoint."""
+        plan = self._make_plan(slot)
+        file = os.path.join(self._folder, f"{slot.name}.json")
+        with open(file, "wb") as stream:
+            stream.write(msgspec.json.encode(plan))
+        module = "catkintiller_standins.endpoint"
+        await self._spawn(f"endpoint {slot.name}", ["-m", module, file])
+
+    async def commit(self, file: str) -> None:
+        """Commits a settings file with the operator's command line."""
+        command = ["-m", "catkintiller_operator.main", "settings", "commit", file]
+        options = ["--log", self.log_url, "--author", "standins"]
+        process = await self._run([*command, *options, "--message", "set up"])
+        if await process.wait():
+            raise DeploymentFailed(f"the commit of {file} failed")
+
+    async def run_load(
+        self, stages: tuple[load.Stage, ...], resends: int = 0, seed: int = 0
+    ) -> list[load.RootResult]:
+        """Runs callers in a process of their own."""
+        plan = shape.make_load(
+            self._shape, self.nodes, stages, seed or self._seed, resends
+        )
+        source = os.path.join(self._folder, "load.json")
+        target = os.path.join(self._folder, "results.jsonl")
+        with open(source, "wb") as stream:
+            stream.write(msgspec.json.encode(plan))
+        module = "catkintiller_standins.load"
+        process = await self._run(["-m", module, source, target])
+        if await process.wait():
+            raise DeploymentFailed("the load tool failed")
+        decoder = msgspec.json.Decoder(load.RootResult)
+        with open(target, "rb") as stream:
+            return [decoder.decode(line) for line in stream]
+
+    async def control(self, url: str, **fields: object) -> None:
+        """Posts a control document to a stand-in."""
+        async with aiohttp.ClientSession() as http:
+            async with http.post(url, json=fields) as response:
+                response.raise_for_status()
+
+    async def control_log(self, **faults: object) -> None:
+        """Switches faults of the log service."""
+        await self.control(f"{self.log_url}/control", **faults)
+
+    async def control_endpoint(self, name: str, **faults: object) -> None:
+        """Switches faults of an endpoint."""
+        port = self.get_slot(name).endpoint_port
+        await self.control(f"http://127.0.0.1:{port}/-/control", **faults)
+
+    async def get_status(self, slot: Slot) -> dict:
+        """Gets a node's status."""
+        async with aiohttp.ClientSession() as http:
+            url = f"http://127.0.0.1:{slot.node_port}/-/status"
+            async with http.get(url) as response:
+                return await response.json()
+
+    async def get_members(self, slot: Slot) -> list[dict]:
+        """Gets the members that a node knows."""
+        async with aiohttp.ClientSession() as http:
+            url = f"http://127.0.0.1:{slot.node_port}/-/members"
+            async with http.get(url) as response:
+                return (await response.json())["members"]
+
+    async def wait_listening(self) -> None:
+        """Waits until every node answers."""
+
+        async def is_listening() -> bool:
+            for slot in self.slots:
+                await self.get_status(slot)
+            return True
+
+        await wait_until(is_listening, "nodes listen")
+
+    async def wait_ready(self) -> None:
+        """Waits until every node knows every serving member and the settings."""
+
+        async def is_ready() -> bool:
+            for slot in self.slots:
+                members = await self.get_members(slot)
+                serving = [m for m in members if m["accepting"]]
+                if len(serving) < len(self.slots):
+                    return False
+            return True
+
+        await wait_until(is_ready, "every node serves and knows the others")
+
+    def signal(self, process: str, number: signal.Signals) -> None:
+        """Sends a signal to a process that this deployment started."""
+        self._processes[process].send_signal(number)
+
+    async def end(self, process: str) -> int:
+        """Ends a process with SIGTERM and waits for it."""
+        self.signal(process, signal.SIGTERM)
+        return await self.wait(process)
+
+    async def kill(self, process: str) -> None:
+        """Ends a process with SIGKILL."""
+        self.signal(process, signal.SIGKILL)
+        await self.wait(process)
+
+    async def wait(self, process: str) -> int:
+        """Waits for the end of a process and gets its exit status."""
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            status = await self._processes[process].wait()
+        del self._processes[process]
+        return status
+
+    async def stop(self) -> None:
+        """Kills every process that is left."""
+        for name, process in list(self._processes.items()):
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+                await self.kill(name)
+
+    def read_ledger(self) -> list[dict]:
+        """Reads the runs that the endpoints recorded."""
+        lines = []
+        for slot in self.slots:
+            file = self._get_ledger(slot)
+            if os.path.exists(file):
+                with open(file, "rb") as stream:
+                    lines.extend(msgspec.json.decode(line) for line in stream)
+        return lines
+
+    def _assign(self) -> None:
+        count = sum(service.endpoints for service in self._shape.services)
+        ports = find_ports(3 * count + 1)
+        self._log_port = ports.pop()
+        zones = self._shape.zones
+        for service in self._shape.services:
+            for index in range(service.endpoints):
+                self.slots.append(
+                    Slot(
+                        f"{service.name}-{index + 1}",
+                        service.name,
+                        zones[index % len(zones)],
+                        service.slots,
+                        ports.pop(),
+                        ports.pop(),
+                        ports.pop(),
+                    )
+                )
+
+    def _get_ledger(self, slot: Slot) -> str:
+        return os.path.join(self._folder, f"{slot.name}.ledger")
+
+    def _format_node(self, slot: Slot) -> str:
+        peers = [f"127.0.0.1:{other.mesh_port}" for other in self.slots[:3]]
+        peers = [self.advertised.get(peer, peer) for peer in peers]
+        mesh = f"127.0.0.1:{slot.mesh_port}"
+        lines = [
+            "[node]",
+            f"http = 127.0.0.1:{slot.node_port}",
+            f"mesh = {mesh}",
+            f"advertised_mesh = {self.advertised.get(mesh, mesh)}",
+            f"region = {self._shape.region}",
+            f"zone = {slot.zone}",
+            f"peers = {' '.join(peers)}",
+            f"log = {self.log_url}",
+            f"mesh_key = {MESH_KEY}",
+        ]
+        return "\n".join(lines) + "\n"
+
+    def _make_plan(self, slot: Slot) -> endpoint.EndpointPlan:
+        return endpoint.EndpointPlan(
+            slot.service,
+            slot.name,
+            slot.endpoint_port,
+            f"127.0.0.1:{slot.node_port}",
+            slot.slots,
+            self._get_ledger(slot),
+            self._seed + slot.endpoint_port,
+            tuple(k.plan for k in self._shape.kinds if k.service == slot.service),
+        )
+
+    async def _spawn(self, name: str, arguments: list[str]) -> None:
+        self._processes[name] = await self._run(arguments, name)
+
+    async def _run(
+        self, arguments: list[str], name: str = "tools"
+    ) -> asyncio.subprocess.Process:
+        file = os.path.join(self._folder, f"{name}.log")
+        with open(file, "ab") as output:
+            return await asyncio.create_subprocess_exec(
+                sys.executable, *arguments, stdout=output, stderr=output
+            )
+
+
+async def wait_until(condition, what: str, timeout_s: float = READY_TIMEOUT_S) -> None:
+    """Waits until an awaitable condition is true.
+
+    :raises DeploymentFailed: if it does not become true in time.
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            while True:
+                try:
+                    if await condition():
+                        return
+                except (aiohttp.ClientError, ConnectionError):
+                    pass
+                await asyncio.sleep(0.05)
+    except TimeoutError as error:
+        raise DeploymentFailed(f"not in time: {what}") from error
--- /dev/null
+++ b/packages/catkintiller-standins/src/catkintiller_standins/endpoint.py
@@ -0,0 +1,236 @@
+"""Stand-in of a service endpoint: works, calls other services, keeps a ledger.
+
+Run with ``python -m catkintiller_standins.endpoint PLAN``, where the plan is the
+JSON of :class:`EndpointPlan`. It has no code of catkintiller: it only passes on
+``traceparent`` and ``tracestate``, as common instrumentation does. ``POST
+/-/control`` takes JSON with any of the fields of :class:`Faults`.
+"""
+
+import asyncio
+import json
+import random
+import signal
+import sys
+import time
+from typing import NamedTuple, TypedDict
+
+import aiohttp
+import msgspec
+import uvloop
+from aiohttp import web
+
+ANNOUNCE_EVERY_S = 1.0
+DRAIN_PATIENCE_S = 10.0
+DRAIN_NOTICE_S = 1.0
+CALL_TIMEOUT_S = 10.0
+
+
+class ChildCall(NamedTuple):
+    """A call that an endpoint makes while it works on a request."""
+
+    method: str
+    target: str
+
+
+class KindPlan(NamedTuple):
+    """How an endpoint works on one kind of request."""
+
+    method: str
+    path: str
+    time_ms: float
+    answer_bytes: int
+    calls: tuple[ChildCall, ...]
+
+
+class EndpointPlan(NamedTuple):
+    """Everything that an endpoint stand-in needs to know."""
+
+    service: str
+    name: str
+    port: int
+    node: str
+    slots: int
+    ledger: str
+    seed: int
+    kinds: tuple[KindPlan, ...]
+
+
+class Faults(TypedDict, total=False):
+    """Faults of an endpoint: slower work, and shares of requests that fail."""
+
+    slow: float
+    fail: float
+    truncate: float
+    refuse: float
+    hang: float
+
+
+class Endpoint:
+    """An endpoint with a fixed number of workers and an unbounded queue."""
+
+    def __init__(self, plan: EndpointPlan) -> None:
+        self._plan = plan
+        self._kinds = {(kind.method, kind.path): kind for kind in plan.kinds}
+        self._slots = asyncio.Semaphore(plan.slots)
+        self._rng = random.Random(plan.seed)
+        self._faults = Faults(slow=1.0, fail=0.0, truncate=0.0, refuse=0.0, hang=0.0)
+        self._ledger = open(plan.ledger, "a", buffering=1, encoding="utf-8")
+        self._in_flight = 0
+        self._leaving = False
+
+    async def run(self) -> None:
+        """Serves until SIGTERM, then drains and ends."""
+        stop = asyncio.Event()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as http:
+            self._http = http
+            server = web.Server(
+                self._handle, handler_cancellation=True, access_log=None
+            )
+            runner = web.ServerRunner(server)
+            await runner.setup()
+            await web.TCPSite(runner, "127.0.0.1", self._plan.port).start()
+            announcer = asyncio.ensure_future(self._announce_forever())
+            await stop.wait()
+            await self._drain()
+            announcer.cancel()
+            await runner.cleanup()
+
+    async def _drain(self) -> None:
+        self._leaving = True
+        await self._announce()
+        deadline = time.monotonic() + DRAIN_PATIENCE_S
+        notice = time.monotonic() + DRAIN_NOTICE_S
+        while time.monotonic() < deadline:
+            if not self._in_flight and time.monotonic() > notice:
+                break
+            await asyncio.sleep(0.02)
+
+    async def _announce_forever(self) -> None:
+        while True:
+            await self._announce()
+            await asyncio.sleep(ANNOUNCE_EVERY_S)
+
+    async def _announce(self) -> None:
+        plan = self._plan
+        document = {
+            "service": plan.service,
+            "name": plan.name,
+            "address": f"127.0.0.1:{plan.port}",
+            "slots": plan.slots,
+            "leaving": self._leaving,
+        }
+        url = f"http://{plan.node}/-/announce"
+        for _ in range(100):
+            try:
+                async with self._http.post(url, json=document):
+                    return
+            except aiohttp.ClientError:
+                await asyncio.sleep(0.1)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == "/-/control":
+            self._faults.update(msgspec.json.decode(await request.read()))
+            return web.json_response(self._faults)
+        kind = self._kinds.get((request.method, request.path))
+        if kind is None:
+            return web.Response(status=404)
+        await request.read()
+        if self._rng.random() < self._faults["refuse"]:
+            return web.Response(status=503, headers={"Catkintiller-Ran": "no"})
+        self._in_flight += 1
+        try:
+            return await self._work(request, kind)
+        finally:
+            self._in_flight -= 1
+
+    async def _work(
+        self, request: web.BaseRequest, kind: KindPlan
+    ) -> web.StreamResponse:
+        trace = request.headers["traceparent"].split("-")[1]
+        key = request.headers.get("Idempotency-Key", "")
+        async with self._slots:
+            self._write("start", trace, key, kind, 0.0)
+            began = time.monotonic()
+            if self._rng.random() < self._faults["hang"]:
+                await asyncio.sleep(CALL_TIMEOUT_S)
+            mean = kind.time_ms / 1000 * self._faults["slow"]
+            await asyncio.sleep(mean * self._rng.uniform(0.7, 1.3))
+            spent_ms = (time.monotonic() - began) * 1000
+        if self._rng.random() < self._faults["fail"]:
+            self._write("failed", trace, key, kind, spent_ms)
+            return web.Response(status=500, text="failed")
+        for call in kind.calls:
+            status = await self._call(request, call)
+            if status >= 400:
+                self._write("failed", trace, key, kind, spent_ms)
+                return web.Response(status=502, text=f"{call.target}: {status}")
+        self._write("end", trace, key, kind, spent_ms)
+        body = make_body(trace, key, kind.answer_bytes)
+        if self._rng.random() < self._faults["truncate"]:
+            return await self._truncate(request, body)
+        return web.Response(body=body, content_type="text/plain")
+
+    async def _call(self, request: web.BaseRequest, call: ChildCall) -> int:
+        passed = {
+            name: request.headers[name]
+            for name in ("traceparent", "tracestate")
+            if name in request.headers
+        }
+        url = f"http://{self._plan.node}/{call.target}"
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        try:
+            async with self._http.request(
+                call.method, url, headers=passed, timeout=timeout
+            ) as response:
+                await response.read()
+                return response.status
+        except (aiohttp.ClientError, TimeoutError):
+            return 599
+
+    async def _truncate(
+        self, request: web.BaseRequest, body: bytes
+    ) -> web.StreamResponse:
+        response = web.StreamResponse()
+        response.content_length = len(body)
+        await response.prepare(request)
+        await response.write(body[: len(body) // 2])
+        request.transport.abort()
+        return response
+
+    def _write(
+        self, event: str, trace: str, key: str, kind: KindPlan, spent_ms: float
+    ) -> None:
+        line = {
+            "event": event,
+            "trace": trace,
+            "key": key,
+            "service": self._plan.service,
+            "path": kind.path,
+            "endpoint": self._plan.name,
+            "ms": round(spent_ms, 2),
+        }
+        self._ledger.write(json.dumps(line) + "\n")
+
+
+def make_body(trace: str, key: str, size: int) -> bytes:
+    """Makes an answer that tells whose it is and whether it is whole."""
+    pattern = f"{trace} {key}\n".encode()
+    return (pattern * (size // len(pattern) + 1))[: max(size, len(pattern))]
+
+
+def main() -> None:
+    """Runs the endpoint of the plan named on the command line."""
+    with open(sys.argv[1], "rb") as stream:
+        plan = msgspec.json.decode(stream.read(), type=EndpointPlan)
+    uvloop.install()
+
+    async def run() -> None:
+        await Endpoint(plan).run()
+
+    asyncio.run(run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/catkintiller-standins/src/catkintiller_standins/shape.py
@@ -0,0 +1,106 @@
+"""Loads the stand-ins' shape of a deployment: places, endpoints, kinds and load."""
+
+from typing import NamedTuple
+
+from catkintiller import errors, ini
+
+from . import endpoint, load
+
+
+class ServiceShape(NamedTuple):
+    """How many endpoints a service has, and their workers."""
+
+    name: str
+    endpoints: int
+    slots: int
+
+
+class KindShape(NamedTuple):
+    """One kind of request: how endpoints work on it and how callers send it."""
+
+    service: str
+    kind: str
+    plan: endpoint.KindPlan
+    rate: float
+    key: str
+
+
+class Shape(NamedTuple):
+    """The shape of one deployment."""
+
+    region: str
+    zones: tuple[str, ...]
+    services: tuple[ServiceShape, ...]
+    kinds: tuple[KindShape, ...]
+
+
+def load_shape(file: str) -> Shape:
+    """Loads a shape.
+
+    :raises errors.SettingsInvalid: if the file is not well formed.
+    """
+    with open(file, encoding="utf-8") as stream:
+        entries, problems = ini.parse_ini(stream.read(), file)
+    if problems:
+        raise errors.SettingsInvalid(problems)
+    sections: dict[str, dict[str, str]] = {}
+    for entry in entries:
+        sections.setdefault(entry.path, {})[entry.name] = entry.value
+    deployment = sections.pop("deployment")
+    services = []
+    kinds = []
+    for section, values in sections.items():
+        level, _, name = section.partition(" ")
+        if level == "service":
+            slots = int(values["slots"])
+            services.append(ServiceShape(name, int(values["endpoints"]), slots))
+        else:
+            kinds.append(_make_kind(name, values))
+    return Shape(
+        deployment["region"],
+        tuple(deployment["zones"].split()),
+        tuple(services),
+        tuple(kinds),
+    )
+
+
+def _make_kind(name: str, values: dict[str, str]) -> KindShape:
+    service, _, kind = name.partition("/")
+    method, path = values["request"].split()
+    calls = values.get("calls", "").split()
+    pairs = zip(calls[::2], calls[1::2], strict=True)
+    plan = endpoint.KindPlan(
+        method,
+        path,
+        float(values["time_ms"]),
+        int(values["answer_bytes"]),
+        tuple(endpoint.ChildCall(*pair) for pair in pairs),
+    )
+    rate = float(values.get("rate", "0"))
+    return KindShape(service, kind, plan, rate, values.get("key", "none"))
+
+
+def make_load(
+    shape: Shape,
+    nodes: list[str],
+    stages: tuple[load.Stage, ...],
+    seed: int,
+    resends: int,
+    deadline_ms: int = 1500,
+) -> load.LoadPlan:
+    """Makes the load plan of a deployment."""
+    kinds = tuple(
+        load.LoadKind(
+            kind.service,
+            kind.kind,
+            kind.plan.method,
+            kind.plan.path,
+            kind.rate,
+            deadline_ms,
+            kind.plan.answer_bytes,
+            kind.key,
+        )
+        for kind in shape.kinds
+        if kind.rate
+    )
+    return load.LoadPlan(seed, tuple(nodes), stages, kinds, resends)
--- /dev/null
+++ b/packages/catkintiller/src/catkintiller/__init__.py
@@ -0,0 +1,1 @@
+"""Settings tree, log client, wire records and decision logic of catkintiller."""
--- /dev/null
+++ b/packages/catkintiller/src/catkintiller/admission.py
@@ -0,0 +1,181 @@
+"""Admission beside the endpoint: who runs, who waits and who is refused.
+
+Waiting requests are ordered by rank, and newest first within a rank, since the
+newest has the most time left. The admission level rises while requests wait
+too long and falls while they do not; ranks below it are refused at once, here
+and, through :class:`~catkintiller.data.Feedback`, at the node of arrival.
+"""
+
+import bisect
+import enum
+from collections.abc import Callable
+from typing import NamedTuple
+
+from . import data, limits, rank
+
+LEVEL_WINDOW_S = 0.05
+RAISE_BUCKETS = 6
+LOWER_BUCKETS = 2
+MAX_WAITING = 4096
+
+
+class Verdict(enum.Enum):
+    """What admission does with a request now."""
+
+    RUN = "run"
+    WAIT = "wait"
+    REFUSE = "refuse"
+
+
+class Waiting(NamedTuple):
+    """A request that waits; sorts so that the next to run is last."""
+
+    rank: int
+    arrived: float
+    order: int
+    expires: float
+    wake: Callable[[data.Reason | None], None]
+
+
+class Admission:
+    """Admission of one endpoint. Time is always an argument, in seconds.
+
+    :param limiter: limit on running requests.
+    :param queue_s: longest time that a request waits.
+    :param shedding: ``False`` to keep the admission level at the bottom.
+    """
+
+    def __init__(
+        self, limiter: limits.Limiter, queue_s: float, shedding: bool = True
+    ) -> None:
+        self._limiter = limiter
+        self._queue_s = queue_s
+        self._shedding = shedding
+        self._waiting: list[Waiting] = []
+        self._order = 0
+        self._in_flight = 0
+        self._level = rank.LOWEST
+        self._window_started = 0.0
+        self._overdue = False
+        self._highest_seen = rank.LOWEST
+        self._latency_s = 0.0
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that run now."""
+        return self._in_flight
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait now."""
+        return len(self._waiting)
+
+    @property
+    def limit(self) -> int:
+        """The present limit on running requests."""
+        return self._limiter.limit
+
+    @property
+    def level(self) -> int:
+        """The lowest rank that is admitted."""
+        return self._level
+
+    @property
+    def latency_s(self) -> float:
+        """Smoothed time of a request at the endpoint."""
+        return self._latency_s
+
+    def configure(self, limiter: limits.Limiter, queue_s: float, shed: bool) -> None:
+        """Takes changed settings into use; what runs or waits stays."""
+        self._limiter = limiter
+        self._queue_s = queue_s
+        self._shedding = shed
+        if not shed:
+            self._level = rank.LOWEST
+
+    def offer(
+        self,
+        now: float,
+        call_rank: int,
+        deadline: float,
+        wake: Callable[[data.Reason | None], None],
+    ) -> Verdict:
+        """Offers a request.
+
+        :param wake: called once for a request that waits, with ``None`` when it
+            may run and with the reason when it is refused.
+        """
+        self.tick(now)
+        self._highest_seen = max(self._highest_seen, call_rank)
+        if call_rank < self._level:
+            return Verdict.REFUSE
+        if self._in_flight < self._limiter.limit and not self._waiting:
+            self._in_flight += 1
+            return Verdict.RUN
+        if self._queue_s <= 0:
+            return Verdict.REFUSE
+        self._order += 1
+        expires = min(now + self._queue_s, deadline)
+        entry = Waiting(call_rank, now, self._order, expires, wake)
+        bisect.insort(self._waiting, entry, key=lambda item: item[:3])
+        if len(self._waiting) > MAX_WAITING:
+            self._waiting.pop(0).wake(data.Reason.OVERLOADED)
+        return Verdict.WAIT
+
+    def withdraw(self, wake: Callable[[data.Reason | None], None]) -> bool:
+        """Takes a waiting request back.
+
+        :returns: whether it was still waiting.
+        """
+        for index, entry in enumerate(self._waiting):
+            if entry.wake is wake:
+                del self._waiting[index]
+                return True
+        return False
+
+    def finish(self, now: float, latency_s: float, failed: bool) -> None:
+        """Ends a running request and lets waiting ones run."""
+        self._limiter.record(now, latency_s, failed, self._in_flight)
+        weight = 0.1 if self._latency_s else 1.0
+        self._latency_s += weight * (latency_s - self._latency_s)
+        self.release(now)
+
+    def release(self, now: float) -> None:
+        """Gives back a slot whose request did not reach the endpoint."""
+        self._in_flight -= 1
+        self.tick(now)
+
+    def tick(self, now: float) -> None:
+        """Expires overdue waiters, adjusts the level, and fills free slots."""
+        self._expire(now)
+        if now - self._window_started >= LEVEL_WINDOW_S:
+            self._adjust_level(now)
+        while self._waiting and self._in_flight < self._limiter.limit:
+            entry = self._waiting.pop()
+            self._in_flight += 1
+            entry.wake(None)
+
+    def _expire(self, now: float) -> None:
+        if not any(entry.expires <= now for entry in self._waiting):
+            return
+        overdue = [entry for entry in self._waiting if entry.expires <= now]
+        self._waiting = [entry for entry in self._waiting if entry.expires > now]
+        self._overdue = True
+        for entry in overdue:
+            entry.wake(data.Reason.QUEUE_TIMEOUT)
+
+    def _adjust_level(self, now: float) -> None:
+        half = self._queue_s / 2
+        slow = any(now - entry.arrived > half for entry in self._waiting)
+        if self._shedding and (self._overdue or slow):
+            # Never above the highest rank seen, so that a class is not shed
+            # while it is the most important one that there is.
+            ceiling = self._highest_seen // rank.CLASS_WIDTH * rank.CLASS_WIDTH
+            self._level = min(ceiling, self._level + RAISE_BUCKETS)
+        else:
+            windows = min(100, int((now - self._window_started) / LEVEL_WINDOW_S))
+            lowered = self._level - LOWER_BUCKETS * max(1, windows)
+            self._level = max(rank.LOWEST, lowered)
+        self._overdue = False
+        self._highest_seen = rank.LOWEST
+        self._window_started = now
--- /dev/null
+++ b/packages/catkintiller/src/catkintiller/rank.py
@@ -0,0 +1,27 @@
+"""Ranks: the order in which calls are admitted under overload.
+
+A rank is the priority class, then the depth in the chain, then a bucket derived
+from the trace identity. The bucket lets a node shed a part of a class, and sheds
+the same root requests at every node of the chain, so that one request's calls
+are admitted together or refused together.
+"""
+
+import zlib
+
+DEPTHS = 4
+BUCKETS = 16
+CLASS_WIDTH = DEPTHS * BUCKETS
+
+LOWEST = 0
+HIGHEST = 5 * CLASS_WIDTH
+
+
+def compute_rank(priority: int, depth: int, trace_id: str) -> int:
+    """Computes the rank of a call; higher is admitted first."""
+    bucket = zlib.crc32(trace_id.encode()) % BUCKETS
+    return priority * CLASS_WIDTH + min(depth, DEPTHS - 1) * BUCKETS + bucket
+
+
+def get_priority(rank: int) -> int:
+    """Gets the priority class of a rank."""
+    return rank // CLASS_WIDTH
