Show both deployments through a surge

Cause: nobody can see outcomes per kind of request yet. Change: make demo runs real processes and compares callers' results with the endpoints' ledgers; exits non-zero if a promise broke.

--- /dev/null
+++ b/packages/catkintiller-standins/src/catkintiller_standins/demo.py
@@ -0,0 +1,67 @@
+"""Runs both deployments through a surge and shows what became of each request.
+
+Run with ``make demo``. Exits with a status other than 0 if a promise broke.
+"""
+
+import asyncio
+import sys
+import tempfile
+
+import defopt
+import uvloop
+
+from catkintiller import tree
+
+from . import deployment, ledger, load, report, shape
+
+DEPLOYMENTS = ("gunstock", "calder-reach")
+STAGES = (
+    load.Stage("steady", 6.0, 1.0),
+    load.Stage("surge", 6.0, 4.0),
+    load.Stage("after", 6.0, 1.0),
+)
+
+
+async def run_deployment(name: str, seed: int, folder: str) -> list[ledger.Broken]:
+    """Runs one deployment and prints its table."""
+    form = shape.load_shape(f"examples/{name}/standins.ini")
+    settings = f"examples/{name}/settings.ini"
+    running = deployment.Deployment(form, settings, folder, seed)
+    print(f"{name}: starting {len(running.slots)} endpoints, a node beside each")
+    try:
+        await running.start()
+        seconds = sum(stage.seconds for stage in STAGES)
+        print(f"{name}: steady load, a surge, steady load again: {seconds:g} s")
+        results = await running.run_load(STAGES)
+        status = await running.get_status(running.slots[0])
+        lines = running.read_ledger()
+    finally:
+        await running.stop()
+    report.print_run(name, results, lines, STAGES, status["latencies"])
+    effective = tree.load_tree(settings)
+    return ledger.find_broken(
+        results,
+        lines,
+        shape.find_unrepeatable(form, effective),
+        effective.get_kind(form.services[0].name, "").retries,
+    )
+
+
+def run(*, seed: int = 1) -> None:
+    """Runs the demonstration.
+
+    :param seed: seed of everything random in the stand-ins.
+    """
+    uvloop.install()
+    broken = []
+    for name in DEPLOYMENTS:
+        with tempfile.TemporaryDirectory(prefix="catkintiller-") as folder:
+            broken += asyncio.run(run_deployment(name, seed, folder))
+    for promise, evidence in broken:
+        print(f"BROKEN: {promise}: {evidence}")
+    print("every promise held" if not broken else f"{len(broken)} promises broke")
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    defopt.run(run)
--- /dev/null
+++ b/packages/catkintiller-standins/src/catkintiller_standins/report.py
@@ -0,0 +1,50 @@
+"""Prints the figures of a run as tables."""
+
+from catkintiller_operator import render
+
+from . import ledger, load
+
+
+def print_run(
+    name: str,
+    results: list[load.RootResult],
+    lines: list[dict],
+    stages: tuple[load.Stage, ...],
+    latencies: dict[str, list],
+) -> None:
+    """Prints the outcomes by kind and stage and the figures of the run.
+
+    :param latencies: a node's latency figures by ``name service kind``.
+    """
+    columns = ["service", "kind", "stage", "sent", "whole", "shed", "late", "other"]
+    columns += ["whole/s", "p50 ms", "p99 ms"]
+    rows = [
+        [*figure[:8], f"{figure.goodput:.1f}", *(f"{ms:.1f}" for ms in figure[9:])]
+        for figure in ledger.compute_kinds(results, stages)
+    ]
+    print(f"\n{name}")
+    render.print_table(columns, rows)
+    figures = ledger.compute_run(results, lines)
+    recovery = ledger.compute_recovery(results, stages[0].name, stages[-1].name)
+    back = "not within the run" if recovery is None else f"{recovery:.2f} s"
+    print(
+        f"root requests {figures.roots}, executions {figures.runs}, "
+        f"retries per root {figures.retries_per_root:.4f} (most "
+        f"{figures.most_retries}), most runs per key {figures.most_runs_per_key}"
+    )
+    print(
+        f"endpoint time spent on failed roots {figures.wasted_share:.1%}, "
+        f"goodput back at 95% after {back}"
+    )
+    count, p50, p99 = merge_latencies(latencies)
+    print(f"added at the node of arrival: p50 {p50:.2f} ms, p99 {p99:.2f} ms ({count})")
+
+
+def merge_latencies(latencies: dict[str, list]) -> tuple[int, float, float]:
+    """Merges the added latency of several kinds, weighted by their counts."""
+    added = [figure for name, figure in latencies.items() if name.startswith("added")]
+    count = sum(figure[0] for figure in added)
+    if not count:
+        return 0, 0.0, 0.0
+    p50 = sum(figure[0] * figure[1] for figure in added) / count
+    return count, p50, max(figure[2] for figure in added)
--- a/packages/catkintiller-standins/src/catkintiller_standins/shape.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/shape.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from catkintiller import errors, ini
+from catkintiller import errors, ini, tree
 
 from . import endpoint, load
 
@@ -104,3 +104,12 @@
         if kind.rate
     )
     return load.LoadPlan(seed, tuple(nodes), stages, kinds, resends)
+
+
+def find_unrepeatable(shape: Shape, settings: tree.Tree) -> set[tuple[str, str]]:
+    """Finds service and path of the kinds that may run at most once."""
+    return {
+        (kind.service, kind.plan.path)
+        for kind in shape.kinds
+        if not settings.get_kind(kind.service, kind.kind).repeatable
+    }
