Do not count waiting for own calls as work; bound calls wait instead of moving

The first refusal (queue timeout, not run) of a ticketed call was followed by a search for another node, which a ticket cannot have, and the true refusal was lost. Tickets drawn together were all bound to one endpoint. Limits fell because the latency of a request holds the time of its own calls and differs by kind. Ruled out: the queue's order by bucket alone (oldest first within class now). Change: a bound call keeps its refusal and waits four times as long; draws are spread over up to four endpoints; limits follow work time per kind, and slots bound what waits for calls.

--- a/packages/catkintiller-node/src/catkintiller_node/calls.py
+++ b/packages/catkintiller-node/src/catkintiller_node/calls.py
@@ -106,9 +106,9 @@
             if result.answer.winner and redirects < MAX_REDIRECTS:
                 redirects += 1
                 named = result.answer.winner
-                tried.discard(named)
                 continue
-            if not self._may_repeat(arrival, refusal, held, len(tried)):
+            bound = bool(named) or is_ticket(arrival.key)
+            if bound or not self._may_repeat(arrival, refusal, held, len(tried)):
                 raise errors.CallRefused(refusal)
 
     def _choose(
@@ -120,7 +120,7 @@
     ) -> data.Member:
         ticket = keys.parse_ticket(arrival.key) if arrival.key else None
         if ticket or named:
-            return self._find_named(arrival, named or ticket.incarnation, tried)
+            return self._find_named(named or ticket.incarnation)
         serving = self._members.get_serving(arrival.kind.service)
         members = [m for m in serving if m.incarnation not in tried]
         if not members:
@@ -133,13 +133,10 @@
             self._shed(arrival, member)
         return member
 
-    def _find_named(
-        self, arrival: Arrival, incarnation: str, tried: set[str]
-    ) -> data.Member:
+    def _find_named(self, incarnation: str) -> data.Member:
         """Finds the one node that may run a key."""
         member = self._members.get(incarnation)
-        gone = member is None or member.state >= data.MemberState.GONE
-        if gone or incarnation in tried:
+        if member is None or member.state >= data.MemberState.GONE:
             raise errors.CallRefused(
                 data.Refusal(
                     data.Reason.KEY_OUTCOME_LOST,
@@ -296,6 +293,11 @@
         return errors.CallRefused(data.Refusal(reason, data.Ran.NO, "", RETRY_AFTER_MS))
 
 
+def is_ticket(key: str) -> bool:
+    """Tells whether a key names the one node that may run it."""
+    return bool(key) and keys.parse_ticket(key) is not None
+
+
 def is_failure(answer: data.CallAnswer) -> bool:
     """Tells whether an answer speaks against the node that gave it."""
     if answer.refusal is None:
--- a/packages/catkintiller-node/src/catkintiller_node/front.py
+++ b/packages/catkintiller-node/src/catkintiller_node/front.py
@@ -79,6 +79,8 @@
         arrival, parent = await self._resolve(request, settings, started)
         held = self._hold_budget(arrival, parent)
         lent = held.left
+        if parent:
+            parent.begin_child(started)
         try:
             result = await self._router.call(arrival, settings, held)
         except errors.CallRefused as error:
@@ -87,6 +89,7 @@
         finally:
             if parent:
                 parent.budget.take_back(lent, held.left)
+                parent.end_child(time.monotonic())
         self._record(arrival, result, started)
         return _make_response(result)
 
--- a/packages/catkintiller-node/src/catkintiller_node/keyed.py
+++ b/packages/catkintiller-node/src/catkintiller_node/keyed.py
@@ -247,7 +247,9 @@
                 state = keys.KeyState.UNCLAIMED
                 await self._claim(request, entry.digest)
                 state = keys.KeyState.READY
-            served = await self._serving.serve(request, body, OUTCOME_PATIENCE_S)
+            served = await self._serving.serve(
+                request, body, OUTCOME_PATIENCE_S, bound=True
+            )
             state = keys.KeyState.FINISHED
             entry.answer = keys.StoredAnswer(*served.answer)
             return served
--- a/packages/catkintiller-node/src/catkintiller_node/node.py
+++ b/packages/catkintiller-node/src/catkintiller_node/node.py
@@ -139,25 +139,17 @@
         self.serving.leave()
         self._publish_endpoint()
 
-    async def draw_tickets(self, service: str, count: int) -> tuple[str, ...]:
-        """Draws ticket keys for a service.
+    async def draw_tickets(self, service: str, count: int) -> list[str]:
+        """Draws ticket keys for a service, spread over its endpoints.
 
         :raises errors.CallRefused: if no endpoint can give any.
         """
         members = self.members.get_serving(service)
-        now = time.monotonic()
-        candidate = None
-        if self._tree and members:
-            me = self.members.me
-            place = self._tree.get_place(me.region, me.zone)
-            candidate = self.balancer.choose(
-                now, members, place.spill, place.ejected_share, 0.0
-            )
-        if candidate is None:
+        if self._tree is None or not members:
             raise errors.CallRefused(
                 data.Refusal(data.Reason.NO_ENDPOINT, data.Ran.NO, "", 1000)
             )
-        return await self._desk.draw(candidate.member, self._tree, count)
+        return await self._desk.draw_spread(members, self._tree, count, self._rng)
 
     def _build_parts(self) -> None:
         settings = self._config
--- a/packages/catkintiller-node/src/catkintiller_node/parents.py
+++ b/packages/catkintiller-node/src/catkintiller_node/parents.py
@@ -5,20 +5,53 @@
 ended, nobody waits for the outgoing one any more.
 """
 
-from catkintiller import budget, data, rank
+from catkintiller import admission, budget, data, rank
 
 
 class Parent:
     """A call that runs at the endpoint and may make calls of its own.
 
-    ``expires`` is on the loop's clock.
+    ``expires`` is on the loop's clock, and so are all times.
     """
 
-    def __init__(self, request: data.CallRequest, expires: float) -> None:
+    def __init__(
+        self, request: data.CallRequest, expires: float, gate: admission.Admission
+    ) -> None:
         self.request = request
         self.expires = expires
         self.budget = budget.ChainBudget(request.context.retries)
         self.chain_level = rank.LOWEST
+        self._gate = gate
+        self._children = 0
+        self._since = 0.0
+        self._calling_s = 0.0
+        self._ended = False
+
+    @property
+    def calling_s(self) -> float:
+        """Time in which at least one own call was running."""
+        return self._calling_s
+
+    def begin_child(self, now: float) -> None:
+        """Notes that an own call begins."""
+        self._children += 1
+        if self._children == 1 and not self._ended:
+            self._since = now
+            self._gate.begin_call(now)
+
+    def end_child(self, now: float) -> None:
+        """Notes that an own call ended."""
+        self._children -= 1
+        if self._children == 0 and not self._ended:
+            self._calling_s += now - self._since
+            self._gate.end_call()
+
+    def end(self, now: float) -> None:
+        """Notes that the call itself ended, whatever its own calls do."""
+        if self._children and not self._ended:
+            self._calling_s += now - self._since
+            self._gate.end_call()
+        self._ended = True
 
 
 class Parents:
@@ -27,14 +60,14 @@
     def __init__(self) -> None:
         self._running: dict[str, Parent] = {}
 
-    def add(self, request: data.CallRequest, expires: float) -> Parent:
+    def add(self, parent: Parent) -> None:
         """Registers a call as running."""
-        parent = self._running[request.call_id] = Parent(request, expires)
-        return parent
+        self._running[parent.request.call_id] = parent
 
-    def remove(self, call_id: str) -> None:
+    def remove(self, parent: Parent, now: float) -> None:
         """Ends a call."""
-        self._running.pop(call_id, None)
+        parent.end(now)
+        self._running.pop(parent.request.call_id, None)
 
     def get(self, call_id: str) -> Parent | None:
         """Gets a running call."""
--- a/packages/catkintiller-node/src/catkintiller_node/serving.py
+++ b/packages/catkintiller-node/src/catkintiller_node/serving.py
@@ -44,7 +44,7 @@
         self._leaving = False
         self._tree: tree.Tree | None = None
         self._applied: tuple | None = None
-        self._admission = admission.Admission(limits.StaticLimiter(1), 0)
+        self._admission = admission.Admission(limits.StaticLimiter(1), 1, 0)
         self._chain_levels: dict[str, tuple[int, float]] = {}
         self._serving = 0
 
@@ -114,11 +114,13 @@
         request: data.CallRequest,
         body: bytes,
         patience_s: float = 0.0,
+        bound: bool = False,
     ) -> Served:
         """Runs a call once.
 
         :param patience_s: time that the endpoint gets beyond the deadline, for
             work whose outcome must become known.
+        :param bound: the call can run at no other endpoint.
         :raises errors.CallRefused: if there is no whole answer.
         """
         self.refuse_if_unable(request)
@@ -126,10 +128,12 @@
         deadline = arrived + request.context.deadline_ms / 1000
         self._serving += 1
         try:
-            await self._admit(request, deadline)
+            await self._admit(request, deadline, bound)
             started = time.monotonic()
             queue_ms = (started - arrived) * 1000
-            running = self._parents.add(request, deadline + patience_s)
+            expires = deadline + patience_s
+            running = parents.Parent(request, expires, self._admission)
+            self._parents.add(running)
             answer = await self._run(request, body, running, started)
         finally:
             self._serving -= 1
@@ -161,16 +165,20 @@
             raise
         finally:
             now = time.monotonic()
-            self._parents.remove(request.call_id)
+            self._parents.remove(running, now)
             if running.chain_level > rank.LOWEST:
                 expires = now + CHAIN_LEVEL_TTL_S
                 self._chain_levels[request.kind] = (running.chain_level, expires)
             if reached:
-                self._admission.finish(now, now - started, failed)
+                taken_s = now - started
+                work_s = taken_s - running.calling_s
+                self._admission.finish(now, request.kind, taken_s, work_s, failed)
             else:
                 self._admission.release(now)
 
-    async def _admit(self, request: data.CallRequest, deadline: float) -> None:
+    async def _admit(
+        self, request: data.CallRequest, deadline: float, bound: bool
+    ) -> None:
         loop = asyncio.get_running_loop()
         turn: asyncio.Future[data.Reason | None] = loop.create_future()
         granted = False
@@ -182,7 +190,9 @@
                 turn.set_result(reason)
 
         call_rank = request.context.rank
-        verdict = self._admission.offer(time.monotonic(), call_rank, deadline, wake)
+        verdict = self._admission.offer(
+            time.monotonic(), call_rank, deadline, wake, bound
+        )
         self._log_verdict(request, verdict)
         if verdict is admission.Verdict.RUN:
             return
@@ -232,4 +242,6 @@
         self._applied = applied
         limiter = limits.make_limiter(found.concurrency, slots, found.favour)
         shed = found.shedding != "off"
-        self._admission.configure(limiter, found.queue_time / 1000, shed)
+        if found.concurrency == "off":
+            slots = limits.UNLIMITED
+        self._admission.configure(limiter, slots, found.queue_time / 1000, shed)
--- a/packages/catkintiller-node/src/catkintiller_node/tickets.py
+++ b/packages/catkintiller-node/src/catkintiller_node/tickets.py
@@ -1,6 +1,8 @@
 """Draws ticket keys from the node that will run them."""
 
 import asyncio
+import itertools
+import random
 import secrets
 
 from catkintiller import data, errors, membership, tree
@@ -8,6 +10,7 @@
 from . import keyed, mesh
 
 MAX_TICKETS = 100
+MAX_SPREAD = 4
 TIMEOUT_S = 1.0
 
 
@@ -28,14 +31,37 @@
         self._keyed = keyed_server
         self._pending: dict[str, asyncio.Future[tuple[str, ...]]] = {}
 
-    async def draw(
-        self, member: data.Member, settings: tree.Tree, count: int
-    ) -> tuple[str, ...]:
-        """Draws tickets bound to ``member``.
+    async def draw_spread(
+        self,
+        members: list[data.Member],
+        settings: tree.Tree,
+        count: int,
+        rng: random.Random,
+    ) -> list[str]:
+        """Draws tickets from several members, in turn one of each.
+
+        A caller that uses its tickets one after the other so loads the members
+        alike.
 
-        :raises errors.CallRefused: if the member does not answer in time.
+        :raises errors.CallRefused: if no member answers in time.
         """
         count = max(1, min(MAX_TICKETS, count))
+        chosen = rng.sample(members, min(MAX_SPREAD, len(members), count))
+        each = -(-count // len(chosen))
+        results = await asyncio.gather(
+            *(self._draw(member, settings, each) for member in chosen),
+            return_exceptions=True,
+        )
+        drawn = [result for result in results if isinstance(result, tuple)]
+        if not drawn:
+            raise results[0]
+        rounds = itertools.zip_longest(*drawn)
+        tickets = [ticket for turn in rounds for ticket in turn if ticket]
+        return tickets[:count]
+
+    async def _draw(
+        self, member: data.Member, settings: tree.Tree, count: int
+    ) -> tuple[str, ...]:
         if member.incarnation == self._members.me.incarnation:
             retention = settings.get_kind(member.service, "").key_retention
             return tuple(self._keyed.draw_tickets(retention / 1000, count))
--- a/packages/catkintiller-standins/src/catkintiller_standins/demo.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/demo.py
@@ -9,7 +9,6 @@
 
 import defopt
 import uvloop
-
 from catkintiller import tree
 
 from . import deployment, ledger, load, report, shape
--- a/packages/catkintiller-standins/src/catkintiller_standins/endpoint.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/endpoint.py
@@ -151,27 +151,31 @@
         trace = request.headers["traceparent"].split("-")[1]
         key = request.headers.get("Idempotency-Key", "")
         async with self._slots:
-            self._write("start", trace, key, kind, 0.0)
-            began = time.monotonic()
-            if self._rng.random() < self._faults["hang"]:
-                await asyncio.sleep(CALL_TIMEOUT_S)
-            mean = kind.time_ms / 1000 * self._faults["slow"]
-            await asyncio.sleep(mean * self._rng.uniform(0.7, 1.3))
-            spent_ms = (time.monotonic() - began) * 1000
-        if self._rng.random() < self._faults["fail"]:
-            self._write("failed", trace, key, kind, spent_ms)
-            return web.Response(status=500, text="failed")
-        for call in kind.calls:
-            status = await self._call(request, call)
-            if status >= 400:
-                self._write("failed", trace, key, kind, spent_ms)
-                return web.Response(status=502, text=f"{call.target}: {status}")
-        self._write("end", trace, key, kind, spent_ms)
+            whole = await self._work_in_slot(request, kind, trace, key)
+        if not whole:
+            return web.Response(status=502, text="a part of the work failed")
         body = make_body(trace, key, kind.answer_bytes)
         if self._rng.random() < self._faults["truncate"]:
             return await self._truncate(request, body)
         return web.Response(body=body, content_type="text/plain")
 
+    async def _work_in_slot(
+        self, request: web.BaseRequest, kind: KindPlan, trace: str, key: str
+    ) -> bool:
+        self._write("start", trace, key, kind, 0.0)
+        began = time.monotonic()
+        if self._rng.random() < self._faults["hang"]:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+        mean = kind.time_ms / 1000 * self._faults["slow"]
+        await asyncio.sleep(mean * self._rng.uniform(0.7, 1.3))
+        spent_ms = (time.monotonic() - began) * 1000
+        whole = self._rng.random() >= self._faults["fail"]
+        for call in kind.calls:
+            whole = whole and await self._call(request, call) < 400
+        event = "end" if whole else "failed"
+        self._write(event, trace, key, kind, spent_ms)
+        return whole
+
     async def _call(self, request: web.BaseRequest, call: ChildCall) -> int:
         passed = {
             name: request.headers[name]
--- a/packages/catkintiller/src/catkintiller/admission.py
+++ b/packages/catkintiller/src/catkintiller/admission.py
@@ -1,9 +1,13 @@
 """Admission beside the endpoint: who runs, who waits and who is refused.
 
-Waiting requests are ordered by rank, and newest first within a rank, since the
-newest has the most time left. The admission level rises while requests wait
-too long and falls while they do not; ranks below it are refused at once, here
-and, through :class:`~catkintiller.data.Feedback`, at the node of arrival.
+Waiting requests are ordered by class and depth, and oldest first within these,
+since none waits longer than the queue's bound in time. The admission level rises
+while requests wait too long and falls while they do not; ranks below it are
+refused at once, here and, through :class:`~catkintiller.data.Feedback`, at the
+node of arrival.
+
+All requests that run are bounded by the endpoint's slots. Those that work, and do
+not wait for calls of their own, are bounded by the limiter too.
 """
 
 import bisect
@@ -14,8 +18,9 @@
 from . import data, limits, rank
 
 LEVEL_WINDOW_S = 0.05
-RAISE_BUCKETS = 6
-LOWER_BUCKETS = 2
+RAISE_BUCKETS = 8
+LOWER_BUCKETS = 4
+BOUND_PATIENCE = 4
 MAX_WAITING = 4096
 
 
@@ -30,9 +35,9 @@
 class Waiting(NamedTuple):
     """A request that waits; sorts so that the next to run is last."""
 
-    rank: int
-    arrived: float
+    group: int
     order: int
+    arrived: float
     expires: float
     wake: Callable[[data.Reason | None], None]
 
@@ -40,20 +45,27 @@
 class Admission:
     """Admission of one endpoint. Time is always an argument, in seconds.
 
-    :param limiter: limit on running requests.
+    :param limiter: limit on working requests.
+    :param slots: limit on running requests.
     :param queue_s: longest time that a request waits.
     :param shedding: ``False`` to keep the admission level at the bottom.
     """
 
     def __init__(
-        self, limiter: limits.Limiter, queue_s: float, shedding: bool = True
+        self,
+        limiter: limits.Limiter,
+        slots: int,
+        queue_s: float,
+        shedding: bool = True,
     ) -> None:
         self._limiter = limiter
+        self._slots = slots
         self._queue_s = queue_s
         self._shedding = shedding
         self._waiting: list[Waiting] = []
         self._order = 0
         self._in_flight = 0
+        self._calling = 0
         self._level = rank.LOWEST
         self._window_started = 0.0
         self._overdue = False
@@ -72,8 +84,8 @@
 
     @property
     def limit(self) -> int:
-        """The present limit on running requests."""
-        return self._limiter.limit
+        """The present limit on requests in flight."""
+        return min(self._slots, self._limiter.limit + self._calling)
 
     @property
     def level(self) -> int:
@@ -85,9 +97,12 @@
         """Smoothed time of a request at the endpoint."""
         return self._latency_s
 
-    def configure(self, limiter: limits.Limiter, queue_s: float, shed: bool) -> None:
+    def configure(
+        self, limiter: limits.Limiter, slots: int, queue_s: float, shed: bool
+    ) -> None:
         """Takes changed settings into use; what runs or waits stays."""
         self._limiter = limiter
+        self._slots = slots
         self._queue_s = queue_s
         self._shedding = shed
         if not shed:
@@ -99,9 +114,12 @@
         call_rank: int,
         deadline: float,
         wake: Callable[[data.Reason | None], None],
+        bound: bool = False,
     ) -> Verdict:
         """Offers a request.
 
+        :param bound: the request can run at no other endpoint, so it may wait
+            ``BOUND_PATIENCE`` times as long.
         :param wake: called once for a request that waits, with ``None`` when it
             may run and with the reason when it is refused.
         """
@@ -109,15 +127,17 @@
         self._highest_seen = max(self._highest_seen, call_rank)
         if call_rank < self._level:
             return Verdict.REFUSE
-        if self._in_flight < self._limiter.limit and not self._waiting:
+        if self._in_flight < self.limit and not self._waiting:
             self._in_flight += 1
             return Verdict.RUN
         if self._queue_s <= 0:
             return Verdict.REFUSE
         self._order += 1
-        expires = min(now + self._queue_s, deadline)
-        entry = Waiting(call_rank, now, self._order, expires, wake)
-        bisect.insort(self._waiting, entry, key=lambda item: item[:3])
+        patience_s = self._queue_s * (BOUND_PATIENCE if bound else 1)
+        expires = min(now + patience_s, deadline)
+        group = call_rank // rank.BUCKETS
+        entry = Waiting(group, -self._order, now, expires, wake)
+        bisect.insort(self._waiting, entry, key=lambda item: item[:2])
         if len(self._waiting) > MAX_WAITING:
             self._waiting.pop(0).wake(data.Reason.OVERLOADED)
         return Verdict.WAIT
@@ -133,9 +153,25 @@
                 return True
         return False
 
-    def finish(self, now: float, latency_s: float, failed: bool) -> None:
-        """Ends a running request and lets waiting ones run."""
-        self._limiter.record(now, latency_s, failed, self._in_flight)
+    def begin_call(self, now: float) -> None:
+        """Notes that a running request waits for calls of its own."""
+        self._calling += 1
+        self.tick(now)
+
+    def end_call(self) -> None:
+        """Notes that a running request works again."""
+        self._calling -= 1
+
+    def finish(
+        self, now: float, kind: str, latency_s: float, work_s: float, failed: bool
+    ) -> None:
+        """Ends a running request and lets waiting ones run.
+
+        :param latency_s: time at the endpoint.
+        :param work_s: the same without the request's own calls.
+        """
+        working = self._in_flight - self._calling
+        self._limiter.record(now, kind, work_s, failed, working)
         weight = 0.1 if self._latency_s else 1.0
         self._latency_s += weight * (latency_s - self._latency_s)
         self.release(now)
@@ -150,7 +186,7 @@
         self._expire(now)
         if now - self._window_started >= LEVEL_WINDOW_S:
             self._adjust_level(now)
-        while self._waiting and self._in_flight < self._limiter.limit:
+        while self._waiting and self._in_flight < self.limit:
             entry = self._waiting.pop()
             self._in_flight += 1
             entry.wake(None)
--- a/packages/catkintiller/src/catkintiller/limits.py
+++ b/packages/catkintiller/src/catkintiller/limits.py
@@ -1,17 +1,26 @@
-"""Limits on the requests that run at an endpoint at once."""
+"""Limits on the requests that work at an endpoint at once.
+
+A request that waits for a call of its own does not work, and the time of such
+calls is not counted. So a slow service does not shrink the limits of the ones
+that call it.
+"""
 
 import abc
 
 MIN_LIMIT = 2
 WINDOW_S = 0.1
 MIN_SAMPLES = 4
-BASELINE_WINDOWS = 600
+BUSY_SHARE = 0.8
+CALM_SHARE = 0.5
+FALL_WEIGHT = 0.05
+CALM_RISE_WEIGHT = 0.01
+BUSY_RISE_WEIGHT = 0.0005
 TOLERANCE = {"goodput": 2.0, "recovery": 1.5}
 DECREASE = 0.85
 
 
 class Limiter(abc.ABC):
-    """Gives the number of requests that may run at once."""
+    """Gives the number of requests that may work at once."""
 
     @property
     @abc.abstractmethod
@@ -20,11 +29,12 @@
 
     @abc.abstractmethod
     def record(
-        self, now: float, latency_s: float, failed: bool, in_flight: int
+        self, now: float, kind: str, work_s: float, failed: bool, working: int
     ) -> None:
         """Takes the outcome of one request into account.
 
-        :param in_flight: requests that ran when this one ended, itself included.
+        :param work_s: time at the endpoint without the request's own calls.
+        :param working: requests that worked when this one ended, itself included.
         """
 
 
@@ -40,30 +50,28 @@
         return self._slots
 
     def record(
-        self, now: float, latency_s: float, failed: bool, in_flight: int
+        self, now: float, kind: str, work_s: float, failed: bool, working: int
     ) -> None:
         """Ignores the outcome."""
 
 
 class AdaptiveLimiter(Limiter):
-    """Raises the limit while latency stays near its floor, else lowers it.
+    """Raises the limit while work takes its usual time, else lowers it.
 
-    The floor is the lowest mean latency of the newest windows. It is forgotten
-    after ``BASELINE_WINDOWS`` windows so that a lasting change of the work is
-    learned.
+    The usual time of each kind of request is learned: it follows shorter times
+    at once, and longer ones slowly, more so while the endpoint is busy.
 
     :param slots: the largest limit.
-    :param favour: ``goodput`` or ``recovery``; sets how far latency may rise.
+    :param favour: ``goodput`` or ``recovery``; sets how far times may rise.
     """
 
     def __init__(self, slots: int, favour: str) -> None:
         self._slots = slots
         self._tolerance = TOLERANCE[favour]
         self._limit = float(max(MIN_LIMIT, slots // 2))
-        self._floor_s = 0.0
-        self._windows = 0
+        self._usual_s: dict[str, float] = {}
         self._started: float | None = None
-        self._total_s = 0.0
+        self._total_ratio = 0.0
         self._samples = 0
         self._failures = 0
         self._peak = 0
@@ -71,34 +79,44 @@
     @property
     def limit(self) -> int:
         """The present limit, at least ``MIN_LIMIT`` and at most the slots."""
-        return max(MIN_LIMIT, min(self._slots, int(self._limit)))
+        return max(1, min(self._slots, int(self._limit)))
 
     def record(
-        self, now: float, latency_s: float, failed: bool, in_flight: int
+        self, now: float, kind: str, work_s: float, failed: bool, working: int
     ) -> None:
         """Adds a sample and adjusts the limit once for each window."""
         if self._started is None:
             self._started = now
-        self._total_s += latency_s
+        usual_s = self._learn(kind, work_s, working)
+        self._total_ratio += work_s / usual_s
         self._samples += 1
         self._failures += failed
-        self._peak = max(self._peak, in_flight)
+        self._peak = max(self._peak, working)
         if now - self._started >= WINDOW_S and self._samples >= MIN_SAMPLES:
-            self._adjust(self._total_s / self._samples)
+            self._adjust()
             self._started = now
-            self._total_s = 0.0
+            self._total_ratio = 0.0
             self._samples = self._failures = self._peak = 0
 
-    def _adjust(self, mean_s: float) -> None:
-        self._windows += 1
-        if not self._floor_s or self._windows > BASELINE_WINDOWS:
-            self._floor_s = mean_s
-            self._windows = 0
-        self._floor_s = min(self._floor_s, mean_s)
+    def _learn(self, kind: str, work_s: float, working: int) -> float:
+        work_s = max(work_s, 1e-6)
+        usual_s = self._usual_s.get(kind, work_s)
+        if work_s < usual_s:
+            weight = FALL_WEIGHT
+        elif working <= self._limit * CALM_SHARE:
+            weight = CALM_RISE_WEIGHT
+        else:
+            weight = BUSY_RISE_WEIGHT
+        usual_s += weight * (work_s - usual_s)
+        self._usual_s[kind] = usual_s
+        return usual_s
+
+    def _adjust(self) -> None:
         failing = self._failures * 2 > self._samples
-        if failing or mean_s > self._floor_s * self._tolerance:
+        slow = self._total_ratio / self._samples > self._tolerance
+        if failing or slow:
             self._limit = max(MIN_LIMIT, self._limit * DECREASE)
-        elif self._peak >= self._limit * 0.8:
+        elif self._peak >= self._limit * BUSY_SHARE:
             self._limit = min(self._slots, self._limit + max(1, self._limit**0.5))
 
 
@@ -106,4 +124,7 @@
     """Makes the limiter that the setting ``concurrency`` names."""
     if concurrency == "adaptive":
         return AdaptiveLimiter(slots, favour)
-    return StaticLimiter(slots if concurrency == "static" else 1_000_000)
+    return StaticLimiter(slots if concurrency == "static" else UNLIMITED)
+
+
+UNLIMITED = 1_000_000
