Refuse at the top what the chain would refuse further down

Change: the node beside an endpoint learns which services a kind of request calls and derives its level from theirs; levels move by ranks that requests have; an unconfirmed level fades; the least loaded node is asked before a call is refused at arrival.

--- a/packages/catkintiller-node/src/catkintiller_node/calls.py
+++ b/packages/catkintiller-node/src/catkintiller_node/calls.py
@@ -129,10 +129,21 @@
             member = balance.choose_by_key(members, arrival.key)
         else:
             member = self._balance(arrival, settings, members)
-        if arrival.kind.shedding == "chain":
-            self._shed(arrival, member)
+        if arrival.kind.shedding != "chain":
+            return member
+        if not self._is_admitted(arrival, member) and not arrival.key:
+            member = min(members, key=lambda m: self._get_level(arrival, m))
+        if not self._is_admitted(arrival, member):
+            raise self._shed(arrival, member)
         return member
 
+    def _get_level(self, arrival: Arrival, member: data.Member) -> int:
+        now = time.monotonic()
+        return self._balancer.get_level(now, member, arrival.kind.kind)
+
+    def _is_admitted(self, arrival: Arrival, member: data.Member) -> bool:
+        return arrival.context.rank >= self._get_level(arrival, member)
+
     def _find_named(self, incarnation: str) -> data.Member:
         """Finds the one node that may run a key."""
         member = self._members.get(incarnation)
@@ -173,23 +184,19 @@
         )
         return candidate.member
 
-    def _shed(self, arrival: Arrival, member: data.Member) -> None:
+    def _shed(self, arrival: Arrival, member: data.Member) -> errors.CallRefused:
         """Refuses a call here that the chain would refuse further down."""
-        now = time.monotonic()
-        level = self._balancer.get_level(now, member, arrival.kind.kind)
-        if arrival.context.rank >= level:
-            return
         self._log.write(
-            now,
+            time.monotonic(),
             "shed",
             "refused at arrival",
             trace=arrival.context.trace_id,
             service=arrival.kind.service,
             kind=arrival.kind.kind,
             rank=arrival.context.rank,
-            level=level,
+            level=self._get_level(arrival, member),
         )
-        raise self._refuse(arrival, data.Reason.SHED_AT_ARRIVAL)
+        return self._refuse(arrival, data.Reason.SHED_AT_ARRIVAL)
 
     async def _attempt(
         self, arrival: Arrival, member: data.Member, held: budget.ChainBudget
--- a/packages/catkintiller-node/src/catkintiller_node/front.py
+++ b/packages/catkintiller-node/src/catkintiller_node/front.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 from catkintiller import budget, data, errors, keys, tree
 
-from . import calls, headers, metrics, parents, problems, remote
+from . import calls, chain, headers, metrics, parents, problems, remote
 
 logger = logging.getLogger("catkintiller.front")
 
@@ -25,6 +25,7 @@
 
     :param router: routes calls.
     :param running: calls that run at the local endpoint.
+    :param needs: what requests need further down their chain.
     :param control: answers the paths below ``/-/``.
     """
 
@@ -32,11 +33,13 @@
         self,
         router: calls.Router,
         running: parents.Parents,
+        needs: chain.Chain,
         control: Control,
         figures: metrics.Metrics,
     ) -> None:
         self._router = router
         self._parents = running
+        self._chain = needs
         self._control = control
         self._metrics = figures
         self._tree: tree.Tree | None = None
@@ -81,11 +84,10 @@
         lent = held.left
         if parent:
             parent.begin_child(started)
+            kind = parent.request.kind
+            self._chain.learn(started, kind, arrival.kind.service, arrival.kind.kind)
         try:
             result = await self._router.call(arrival, settings, held)
-        except errors.CallRefused as error:
-            self._note_chain_level(error.refusal, arrival, parent)
-            raise
         finally:
             if parent:
                 parent.budget.take_back(lent, held.left)
@@ -148,16 +150,6 @@
             return budget.ChainBudget(arrival.context.retries)
         return budget.ChainBudget(parent.budget.lend_share())
 
-    @staticmethod
-    def _note_chain_level(
-        refusal: data.Refusal, arrival: calls.Arrival, parent: parents.Parent | None
-    ) -> None:
-        """Keeps the level at which a child call was shed, for the chain above."""
-        shed = (data.Reason.SHED_AT_ARRIVAL, data.Reason.OVERLOADED)
-        if parent and refusal.reason in shed:
-            own = parent.request.context.rank
-            parent.chain_level = max(parent.chain_level, own + 1)
-
     def _record(
         self, arrival: calls.Arrival, result: remote.Result, started: float
     ) -> None:
--- a/packages/catkintiller-node/src/catkintiller_node/node.py
+++ b/packages/catkintiller-node/src/catkintiller_node/node.py
@@ -21,6 +21,7 @@
 
 from . import (
     calls,
+    chain,
     config,
     decisions,
     endpoint,
@@ -173,7 +174,8 @@
         )
         running = parents.Parents()
         client = endpoint.EndpointClient(self._http)
-        self.serving = serving.Serving(client, running, log, self.metrics)
+        needs = chain.Chain(self.members, self.balancer)
+        self.serving = serving.Serving(client, running, needs, log, self.metrics)
         self.keyed = keyed.KeyedServing(me.incarnation, self.serving, log_client)
         self.local = remote.LocalServer(me.incarnation, self.serving, self.keyed)
         self.sender = remote.MeshSender(me.incarnation, self.mesh, self.local)
@@ -182,7 +184,7 @@
             self.members, self.balancer, self.sender, log, self.metrics
         )
         control = self._make_control(self)
-        self._front = front.Front(router, running, control, self.metrics)
+        self._front = front.Front(router, running, needs, control, self.metrics)
 
     def _use_settings(self, state: data.SettingsState) -> None:
         self._tree = tree.Tree(state)
--- a/packages/catkintiller-node/src/catkintiller_node/parents.py
+++ b/packages/catkintiller-node/src/catkintiller_node/parents.py
@@ -5,7 +5,7 @@
 ended, nobody waits for the outgoing one any more.
 """
 
-from catkintiller import admission, budget, data, rank
+from catkintiller import admission, budget, data
 
 
 class Parent:
@@ -20,7 +20,6 @@
         self.request = request
         self.expires = expires
         self.budget = budget.ChainBudget(request.context.retries)
-        self.chain_level = rank.LOWEST
         self._gate = gate
         self._children = 0
         self._since = 0.0
--- a/packages/catkintiller-node/src/catkintiller_node/serving.py
+++ b/packages/catkintiller-node/src/catkintiller_node/serving.py
@@ -6,9 +6,8 @@
 
 from catkintiller import admission, data, errors, limits, rank, tree
 
-from . import decisions, endpoint, metrics, parents
+from . import chain, decisions, endpoint, metrics, parents
 
-CHAIN_LEVEL_TTL_S = 0.25
 RETRY_AFTER_MS = 1000
 IDLE_FEEDBACK = data.Feedback(rank.LOWEST, rank.LOWEST, 0, 1, 0.0)
 
@@ -27,17 +26,20 @@
 
     :param client: client of the endpoint.
     :param running: registry of running calls.
+    :param needs: what requests need further down their chain.
     """
 
     def __init__(
         self,
         client: endpoint.EndpointClient,
         running: parents.Parents,
+        needs: chain.Chain,
         log: decisions.DecisionLog,
         figures: metrics.Metrics,
     ) -> None:
         self._client = client
         self._parents = running
+        self._chain = needs
         self._log = log
         self._metrics = figures
         self._info: endpoint.EndpointInfo | None = None
@@ -45,7 +47,7 @@
         self._tree: tree.Tree | None = None
         self._applied: tuple | None = None
         self._admission = admission.Admission(limits.StaticLimiter(1), 1, 0)
-        self._chain_levels: dict[str, tuple[int, float]] = {}
+        self._shed_chain = True
         self._serving = 0
 
     @property
@@ -90,10 +92,9 @@
 
     def get_feedback(self, now: float, kind: str) -> data.Feedback:
         """Gets what this node tells callers of a kind with each answer."""
-        level, expires = self._chain_levels.get(kind, (rank.LOWEST, 0.0))
         return data.Feedback(
             self._admission.level,
-            level if expires > now else rank.LOWEST,
+            self._get_chain_level(now, kind),
             self._admission.in_flight + self._admission.waiting,
             self._admission.limit,
             self._admission.latency_s * 1000,
@@ -166,9 +167,6 @@
         finally:
             now = time.monotonic()
             self._parents.remove(running, now)
-            if running.chain_level > rank.LOWEST:
-                expires = now + CHAIN_LEVEL_TTL_S
-                self._chain_levels[request.kind] = (running.chain_level, expires)
             if reached:
                 taken_s = now - started
                 work_s = taken_s - running.calling_s
@@ -190,6 +188,9 @@
                 turn.set_result(reason)
 
         call_rank = request.context.rank
+        if call_rank < self._get_chain_level(time.monotonic(), request.kind):
+            self._log_verdict(request, admission.Verdict.REFUSE)
+            raise self._refuse(request, data.Reason.CHAIN_OVERLOADED)
         verdict = self._admission.offer(
             time.monotonic(), call_rank, deadline, wake, bound
         )
@@ -208,6 +209,9 @@
         if reason is not None:
             raise self._refuse(request, reason)
 
+    def _get_chain_level(self, now: float, kind: str) -> int:
+        return self._chain.get_level(now, kind) if self._shed_chain else rank.LOWEST
+
     def _log_verdict(
         self, request: data.CallRequest, verdict: admission.Verdict
     ) -> None:
@@ -242,6 +246,7 @@
         self._applied = applied
         limiter = limits.make_limiter(found.concurrency, slots, found.favour)
         shed = found.shedding != "off"
+        self._shed_chain = found.shedding == "chain"
         if found.concurrency == "off":
             slots = limits.UNLIMITED
         self._admission.configure(limiter, slots, found.queue_time / 1000, shed)
--- a/packages/catkintiller/src/catkintiller/admission.py
+++ b/packages/catkintiller/src/catkintiller/admission.py
@@ -18,8 +18,9 @@
 from . import data, limits, rank
 
 LEVEL_WINDOW_S = 0.05
-RAISE_BUCKETS = 8
-LOWER_BUCKETS = 4
+RAISE_RANKS = 2
+LOWER_RANKS = 1
+RANK_MEMORY_S = 5.0
 BOUND_PATIENCE = 4
 MAX_WAITING = 4096
 
@@ -69,7 +70,7 @@
         self._level = rank.LOWEST
         self._window_started = 0.0
         self._overdue = False
-        self._highest_seen = rank.LOWEST
+        self._seen: dict[int, float] = {}
         self._latency_s = 0.0
 
     @property
@@ -124,7 +125,7 @@
             may run and with the reason when it is refused.
         """
         self.tick(now)
-        self._highest_seen = max(self._highest_seen, call_rank)
+        self._seen[call_rank] = now
         if call_rank < self._level:
             return Verdict.REFUSE
         if self._in_flight < self.limit and not self._waiting:
@@ -203,15 +204,28 @@
     def _adjust_level(self, now: float) -> None:
         half = self._queue_s / 2
         slow = any(now - entry.arrived > half for entry in self._waiting)
+        windows = min(100, int((now - self._window_started) / LEVEL_WINDOW_S))
         if self._shedding and (self._overdue or slow):
-            # Never above the highest rank seen, so that a class is not shed
-            # while it is the most important one that there is.
-            ceiling = self._highest_seen // rank.CLASS_WIDTH * rank.CLASS_WIDTH
-            self._level = min(ceiling, self._level + RAISE_BUCKETS)
-        else:
-            windows = min(100, int((now - self._window_started) / LEVEL_WINDOW_S))
-            lowered = self._level - LOWER_BUCKETS * max(1, windows)
-            self._level = max(rank.LOWEST, lowered)
+            self._raise_level(now)
+        elif self._level > rank.LOWEST:
+            self._lower_level(LOWER_RANKS * max(1, windows))
         self._overdue = False
-        self._highest_seen = rank.LOWEST
         self._window_started = now
+
+    def _raise_level(self, now: float) -> None:
+        """Moves the level up by a few of the ranks that requests have."""
+        oldest = now - RANK_MEMORY_S
+        self._seen = {r: at for r, at in self._seen.items() if at > oldest}
+        if not self._seen:
+            return
+        # The most important class that there is is not shed by level; its
+        # requests compete in the queue.
+        ceiling = max(self._seen) // rank.CLASS_WIDTH * rank.CLASS_WIDTH
+        higher = sorted(r for r in self._seen if r >= self._level)
+        wanted = higher[min(RAISE_RANKS, len(higher) - 1)] if higher else self._level
+        self._level = min(ceiling, wanted)
+
+    def _lower_level(self, steps: int) -> None:
+        """Moves the level down by ranks that requests had lately."""
+        lower = sorted((r for r in self._seen if r < self._level), reverse=True)
+        self._level = lower[steps - 1] if len(lower) >= steps else rank.LOWEST
--- a/packages/catkintiller/src/catkintiller/balance.py
+++ b/packages/catkintiller/src/catkintiller/balance.py
@@ -12,7 +12,8 @@
 from . import data, rank
 
 HINT_TTL_S = 1.0
-LEVEL_TTL_S = 0.25
+LEVEL_HOLD_S = 0.1
+LEVEL_FALL_PER_S = 80.0
 EJECT_AFTER_FAILURES = 3
 EJECT_S = 2.0
 MAX_EJECT_S = 30.0
@@ -90,9 +91,9 @@
         target = self._targets.get(member.incarnation)
         if target is None:
             return rank.LOWEST
-        level = target.level if now - target.updated < LEVEL_TTL_S else rank.LOWEST
-        chain_level, expires = target.chain_levels.get(kind, (rank.LOWEST, 0.0))
-        return max(level, chain_level) if expires > now else level
+        level = _fade(target.level, now - target.updated)
+        chain_level, updated = target.chain_levels.get(kind, (rank.LOWEST, now))
+        return max(level, _fade(chain_level, now - updated))
 
     def record_sent(self, now: float, incarnation: str) -> None:
         """Counts a call that goes out to a node."""
@@ -107,7 +108,7 @@
         target.limit = feedback.limit
         target.latency_ms = feedback.latency_ms or DEFAULT_LATENCY_MS
         target.level = feedback.level
-        target.chain_levels[kind] = (feedback.chain_level, now + LEVEL_TTL_S)
+        target.chain_levels[kind] = (feedback.chain_level, now)
         target.updated = now
 
     def record_done(self, now: float, incarnation: str, failed: bool) -> bool:
@@ -171,7 +172,7 @@
         target = self._get_target(now, member.incarnation)
         fresh = now - target.updated < HINT_TTL_S
         in_flight = target.in_flight if fresh else 0
-        level = target.level if now - target.updated < LEVEL_TTL_S else rank.LOWEST
+        level = _fade(target.level, now - target.updated)
         age = now - target.first_seen
         share = min(1.0, max(0.1, age / slow_start_s)) if slow_start_s else 1.0
         load = max(in_flight, target.outstanding) + 1
@@ -193,5 +194,13 @@
     return max(members, key=lambda member: _hash(member.incarnation, key), default=None)
 
 
+def _fade(level: int, age_s: float) -> int:
+    """Lets a level that nobody confirms fall, so that a few calls try again."""
+    overdue_s = age_s - LEVEL_HOLD_S
+    if overdue_s <= 0:
+        return level
+    return max(rank.LOWEST, level - int(overdue_s * LEVEL_FALL_PER_S))
+
+
 def _hash(incarnation: str, key: str) -> int:
     return random.Random(f"{incarnation} {key}").getrandbits(64)
--- a/packages/catkintiller/src/catkintiller/data.py
+++ b/packages/catkintiller/src/catkintiller/data.py
@@ -21,6 +21,7 @@
     """Why a call was refused or failed; the last part of the problem type."""
 
     OVERLOADED = "overloaded"
+    CHAIN_OVERLOADED = "chain-overloaded"
     SHED_AT_ARRIVAL = "shed-at-arrival"
     QUEUE_TIMEOUT = "queue-timeout"
     LEAVING = "leaving"
