Say 'did not run' under a key only where it is known

Cause: found by the new test of a killed node: a repeat of a ticket whose first run had begun was refused with ran: no, because this attempt never left the node. The caller may then take a new key and the work is doubled. The same held for keyed calls shed at arrival and for claims while the log is down. Ruled out: a caller's mark on first attempts (asks callers to be truthful). Change: under a key only the node that may run it says no; all others say unknown. Keyed calls are not shed at arrival. A lost answer to a claim is settled by reading the log.

--- a/packages/catkintiller-node/src/catkintiller_node/calls.py
+++ b/packages/catkintiller-node/src/catkintiller_node/calls.py
@@ -129,9 +129,10 @@
             member = balance.choose_by_key(members, arrival.key)
         else:
             member = self._balance(arrival, settings, members)
-        if arrival.kind.shedding != "chain":
+        if arrival.kind.shedding != "chain" or arrival.key:
+            # Only the node that may run a key can tell whether it ran.
             return member
-        if not self._is_admitted(arrival, member) and not arrival.key:
+        if not self._is_admitted(arrival, member):
             member = min(members, key=lambda m: self._get_level(arrival, m))
         if not self._is_admitted(arrival, member):
             raise self._shed(arrival, member)
@@ -259,7 +260,10 @@
         tries: int,
     ) -> bool:
         now = time.monotonic()
-        if refusal.ran is data.Ran.NO:
+        if arrival.key:
+            # The claims on the log keep another node from running it again.
+            repeat = refusal.reason in _ELSEWHERE and tries <= MAX_REROUTES
+        elif refusal.ran is data.Ran.NO:
             limit = MAX_REROUTES if refusal.reason in _ELSEWHERE else 1
             movable = refusal.reason in _ELSEWHERE or refusal.reason in _FULL
             repeat = movable and tries <= limit
--- a/packages/catkintiller-node/src/catkintiller_node/front.py
+++ b/packages/catkintiller-node/src/catkintiller_node/front.py
@@ -76,7 +76,15 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.Response:
         if self._tree is None:
-            raise _refuse(data.Reason.NO_SETTINGS, "no settings have been read yet")
+            raise errors.CallRefused(
+                data.Refusal(
+                    data.Reason.NO_SETTINGS,
+                    data.Ran.UNKNOWN
+                    if headers.IDEMPOTENCY_KEY in request.headers
+                    else data.Ran.NO,
+                    "no settings have been read yet",
+                )
+            )
         started = time.monotonic()
         settings = self._tree
         arrival, parent = await self._resolve(request, settings, started)
--- a/packages/catkintiller-node/src/catkintiller_node/keyed.py
+++ b/packages/catkintiller-node/src/catkintiller_node/keyed.py
@@ -1,5 +1,9 @@
 """At most one execution for each idempotency key, on the serving side.
 
+A refusal under a key says ``ran: no`` only where this node can tell that the key
+never ran: it may run the key, and has not. Every other refusal says ``unknown``,
+since an earlier request with the same key may have run.
+
 See ``docs/AT-MOST-ONCE.md`` for the ways that were weighed.
 """
 
@@ -67,12 +71,23 @@
         """
         try:
             async with asyncio.timeout(CLAIM_TIMEOUT_S):
-                offset = await self._append(claim)
-                async with self._read:
-                    await self._read.wait_for(lambda: self._table.offset >= offset)
-        except (TimeoutError, errors.LogOutcomeUnknown) as error:
+                return await self._claim_and_read(claim)
+        except TimeoutError as error:
             raise errors.LogUnavailable("the claim was not read back") from error
-        return self._table.find_winner(claim.key) or claim
+
+    async def _claim_and_read(self, claim: data.Claim) -> data.Claim:
+        try:
+            offset = await self._append(claim)
+        except errors.LogOutcomeUnknown:
+            # It may have been taken; only the log can tell.
+            offset = 0
+        async with self._read:
+            await self._read.wait_for(
+                lambda: (
+                    self._table.find_winner(claim.key) and self._table.offset >= offset
+                )
+            )
+        return self._table.find_winner(claim.key)
 
     async def follow(self) -> None:
         """Reads the stream for as long as the node runs."""
@@ -194,12 +209,14 @@
     def _add_entry(
         self, now: float, request: data.CallRequest, digest: bytes, retention_s: float
     ) -> keys.KeyEntry:
-        self._serving.refuse_if_unable(request)
         ticket = keys.parse_ticket(request.key)
         if ticket:
             if not self._keys.is_current(now, ticket):
                 raise _refuse(data.Reason.KEY_OUTCOME_LOST, data.Ran.UNKNOWN)
+            self._serving.refuse_if_unable(request)
             return self._keys.add(now, request.key, digest, retention_s)
+        if self._claims is None or not self._serving.accepting:
+            raise _refuse(data.Reason.LEAVING, data.Ran.UNKNOWN)
         winner = self._claims.table.find_winner(request.key)
         if winner:
             self._refuse_lost_claim(winner, digest)
@@ -241,12 +258,11 @@
         body: bytes,
         ready: bool,
     ) -> serving.Served:
-        state = keys.KeyState.LOST
+        state = keys.KeyState.READY if ready else keys.KeyState.UNCLAIMED
         try:
             if not ready:
-                state = keys.KeyState.UNCLAIMED
-                await self._claim(request, entry.digest)
-                state = keys.KeyState.READY
+                await self._claim(request, entry)
+            state = keys.KeyState.LOST
             served = await self._serving.serve(
                 request, body, OUTCOME_PATIENCE_S, bound=True
             )
@@ -255,8 +271,8 @@
             return served
         except errors.CallRefused as error:
             entry.failure = error
-            if error.refusal.ran is not data.Ran.NO:
-                state = keys.KeyState.LOST
+            if error.refusal.ran is data.Ran.NO:
+                state = keys.KeyState.READY
             raise
         except Redirected as error:
             entry.failure = error
@@ -266,14 +282,15 @@
             entry.state = state
             entry.done.set()
 
-    async def _claim(self, request: data.CallRequest, digest: bytes) -> None:
+    async def _claim(self, request: data.CallRequest, entry: keys.KeyEntry) -> None:
         try:
-            claim = data.Claim(request.key, digest, self._incarnation)
+            claim = data.Claim(request.key, entry.digest, self._incarnation)
             winner = await self._claims.claim(claim)
         except errors.LogUnavailable as error:
-            raise _refuse(data.Reason.LOG_UNAVAILABLE, data.Ran.NO) from error
+            # Another node may have claimed and run the key unseen.
+            raise _refuse(data.Reason.LOG_UNAVAILABLE, data.Ran.UNKNOWN) from error
         if winner.incarnation != self._incarnation:
-            self._refuse_lost_claim(winner, digest)
+            self._refuse_lost_claim(winner, entry.digest)
 
     def _sweep(self, now: float, retention_s: float) -> None:
         self._keys.sweep(now, retention_s)
--- a/packages/catkintiller-node/src/catkintiller_node/remote.py
+++ b/packages/catkintiller-node/src/catkintiller_node/remote.py
@@ -60,7 +60,7 @@
         try:
             if request.target != self._incarnation:
                 raise errors.CallRefused(
-                    data.Refusal(data.Reason.NO_ENDPOINT, data.Ran.NO)
+                    data.Refusal(data.Reason.NO_ENDPOINT, _get_unsent(request))
                 )
             async with asyncio.timeout(request.context.deadline_ms / 1000):
                 served = await self._dispatch(request, body)
@@ -165,7 +165,8 @@
 
         def on_unsent() -> None:
             if not pending.done.done():
-                refusal = data.Refusal(data.Reason.CONNECTION_LOST, data.Ran.NO)
+                ran = _get_unsent(request)
+                refusal = data.Refusal(data.Reason.CONNECTION_LOST, ran)
                 pending.done.set_result(_make_failure(request, refusal))
 
         timeout_s = request.context.deadline_ms / 1000 + ANSWER_MARGIN_S
@@ -232,6 +233,14 @@
         self._mesh.send(member.address, cancel)
 
 
+def _get_unsent(request: data.CallRequest) -> data.Ran:
+    """Tells what ran of a call that reached no node that may run it.
+
+    An earlier call under the same key may have run.
+    """
+    return data.Ran.UNKNOWN if request.key else data.Ran.NO
+
+
 def _make_failure(request: data.CallRequest, refusal: data.Refusal) -> Result:
     unspent = request.context.retries if refusal.ran is data.Ran.NO else 0
     return Result(_make_failed_answer(request.call_id, unspent, refusal), b"")
--- a/packages/catkintiller-standins/src/catkintiller_standins/deployment.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/deployment.py
@@ -12,6 +12,7 @@
 
 import aiohttp
 import msgspec
+from aiomisc.pytest import TCPProxy
 
 from . import endpoint, load, shape
 
@@ -70,7 +71,7 @@
         self._processes: dict[str, asyncio.subprocess.Process] = {}
         self.slots: list[Slot] = []
         self.advertised: dict[str, str] = {}
-        self.endpoint_aliases: dict[str, str] = {}
+        self.proxies: dict[str, TCPProxy] = {}
         self._assign()
 
     @property
