Hand unused tickets over, and let a started node join before it serves callers

Cause: under rolling replacement a ticket held for a leaving node was refused, and a node that had just started refused calls since it knew nobody. Change: a leaving node gives a key that has not run to one successor, for good; calls at a starting node wait until it has settings and members.

--- a/packages/catkintiller-node/src/catkintiller_node/calls.py
+++ b/packages/catkintiller-node/src/catkintiller_node/calls.py
@@ -94,10 +94,10 @@
         """
         tried: set[str] = set()
         redirects = 0
-        named = ""
+        named = handed_by = ""
         while True:
             member = self._choose(arrival, settings, tried, named)
-            result = await self._attempt(arrival, member, held)
+            result = await self._attempt(arrival, member, held, handed_by)
             refusal = result.answer.refusal
             if refusal is None:
                 self._get_ratio(arrival).record_success(arrival.kind.retry_ratio)
@@ -106,6 +106,7 @@
             if result.answer.winner and redirects < MAX_REDIRECTS:
                 redirects += 1
                 named = result.answer.winner
+                handed_by = result.answer.source
                 continue
             bound = bool(named) or is_ticket(arrival.key)
             if bound or not self._may_repeat(arrival, refusal, held, len(tried)):
@@ -200,7 +201,11 @@
         return self._refuse(arrival, data.Reason.SHED_AT_ARRIVAL)
 
     async def _attempt(
-        self, arrival: Arrival, member: data.Member, held: budget.ChainBudget
+        self,
+        arrival: Arrival,
+        member: data.Member,
+        held: budget.ChainBudget,
+        handed_by: str,
     ) -> remote.Result:
         now = time.monotonic()
         if arrival.expires <= now:
@@ -219,6 +224,7 @@
                 deadline_ms=int((arrival.expires - now) * 1000), retries=share
             ),
             arrival.key,
+            handed_by,
             self._members.me.address,
         )
         self._balancer.record_sent(now, member.incarnation)
--- a/packages/catkintiller-node/src/catkintiller_node/front.py
+++ b/packages/catkintiller-node/src/catkintiller_node/front.py
@@ -4,6 +4,7 @@
 Paths below ``/-/`` are the node's own.
 """
 
+import asyncio
 import logging
 import time
 from collections.abc import Awaitable, Callable
@@ -16,6 +17,7 @@
 logger = logging.getLogger("catkintiller.front")
 
 CONTROL_PREFIX = "/-/"
+JOIN_PATIENCE_S = 3.0
 
 Control = Callable[[web.BaseRequest], Awaitable[web.Response]]
 
@@ -45,6 +47,7 @@
         self._tree: tree.Tree | None = None
         self._closing = False
         self._in_flight = 0
+        self._joined = asyncio.Event()
 
     @property
     def in_flight(self) -> int:
@@ -55,6 +58,10 @@
         """Takes changed settings into use."""
         self._tree = settings
 
+    def note_joined(self) -> None:
+        """Notes that this node knows the others; calls that wait go on."""
+        self._joined.set()
+
     def close_connections(self) -> None:
         """Asks callers, with each answer, to come back to another node."""
         self._closing = True
@@ -75,6 +82,9 @@
         return response
 
     async def _answer(self, request: web.BaseRequest) -> web.Response:
+        started = time.monotonic()
+        if not self._joined.is_set():
+            await self._wait_joined()
         if self._tree is None:
             raise errors.CallRefused(
                 data.Refusal(
@@ -85,7 +95,6 @@
                     "no settings have been read yet",
                 )
             )
-        started = time.monotonic()
         settings = self._tree
         arrival, parent = await self._resolve(request, settings, started)
         held = self._hold_budget(arrival, parent)
@@ -103,6 +112,14 @@
         self._record(arrival, result, started)
         return _make_response(result)
 
+    async def _wait_joined(self) -> None:
+        """Lets a call wait while this node, just started, learns of the others."""
+        try:
+            async with asyncio.timeout(JOIN_PATIENCE_S):
+                await self._joined.wait()
+        except TimeoutError:
+            self._joined.set()
+
     async def _resolve(
         self, request: web.BaseRequest, settings: tree.Tree, now: float
     ) -> tuple[calls.Arrival, parents.Parent | None]:
--- a/packages/catkintiller-node/src/catkintiller_node/keyed.py
+++ b/packages/catkintiller-node/src/catkintiller_node/keyed.py
@@ -11,6 +11,7 @@
 import logging
 import random
 import time
+from collections.abc import Callable
 
 import msgspec
 from catkintiller import data, errors, keys, logclient
@@ -136,6 +137,8 @@
     """Runs calls under idempotency keys.
 
     :param incarnation: this node's incarnation.
+    :param choose_successor: names an incarnation that serves the same service,
+        ``""`` if there is none.
     """
 
     def __init__(
@@ -143,8 +146,10 @@
         incarnation: str,
         server: serving.Serving,
         log: logclient.LogClient,
+        choose_successor: Callable[[], str],
     ) -> None:
         self._incarnation = incarnation
+        self._choose_successor = choose_successor
         self._serving = server
         self._log = log
         self._keys = keys.KeyTable(incarnation, time.monotonic())
@@ -199,6 +204,10 @@
             entry = self._add_entry(now, request, digest, retention_s)
         if entry.digest != digest:
             raise _refuse(data.Reason.KEY_REUSED, data.Ran.NO)
+        if entry.state is keys.KeyState.READY and self._serving.leaving:
+            self._hand_over(entry)
+        if entry.state is keys.KeyState.HANDED_OVER:
+            raise Redirected(entry.successor)
         if entry.state in (keys.KeyState.READY, keys.KeyState.UNCLAIMED):
             task = self._start(entry, request, body)
             return await asyncio.shield(task)
@@ -211,9 +220,9 @@
     ) -> keys.KeyEntry:
         ticket = keys.parse_ticket(request.key)
         if ticket:
-            if not self._keys.is_current(now, ticket):
+            handed = request.handed_by == ticket.incarnation
+            if not handed and not self._keys.is_current(now, ticket):
                 raise _refuse(data.Reason.KEY_OUTCOME_LOST, data.Ran.UNKNOWN)
-            self._serving.refuse_if_unable(request)
             return self._keys.add(now, request.key, digest, retention_s)
         if self._claims is None or not self._serving.accepting:
             raise _refuse(data.Reason.LEAVING, data.Ran.UNKNOWN)
@@ -224,6 +233,13 @@
         entry.state = keys.KeyState.UNCLAIMED
         return entry
 
+    def _hand_over(self, entry: keys.KeyEntry) -> None:
+        """Gives a key that has not run here to one other node, for good."""
+        successor = self._choose_successor()
+        if successor:
+            entry.state = keys.KeyState.HANDED_OVER
+            entry.successor = successor
+
     def _refuse_lost_claim(self, winner: data.Claim, digest: bytes) -> None:
         if winner.digest != digest:
             raise _refuse(data.Reason.KEY_REUSED, data.Ran.NO)
--- a/packages/catkintiller-node/src/catkintiller_node/node.py
+++ b/packages/catkintiller-node/src/catkintiller_node/node.py
@@ -176,7 +176,9 @@
         client = endpoint.EndpointClient(self._http)
         needs = chain.Chain(self.members, self.balancer)
         self.serving = serving.Serving(client, running, needs, log, self.metrics)
-        self.keyed = keyed.KeyedServing(me.incarnation, self.serving, log_client)
+        self.keyed = keyed.KeyedServing(
+            me.incarnation, self.serving, log_client, self._choose_successor
+        )
         self.local = remote.LocalServer(me.incarnation, self.serving, self.keyed)
         self.sender = remote.MeshSender(me.incarnation, self.mesh, self.local)
         self._desk = tickets.TicketDesk(self.members, self.mesh, self.keyed)
@@ -186,6 +188,12 @@
         control = self._make_control(self)
         self._front = front.Front(router, running, needs, control, self.metrics)
 
+    def _choose_successor(self) -> str:
+        me = self.members.me
+        members = self.members.get_serving(me.service)
+        others = [m for m in members if m.incarnation != me.incarnation]
+        return self._rng.choice(others).incarnation if others else ""
+
     def _use_settings(self, state: data.SettingsState) -> None:
         self._tree = tree.Tree(state)
         self._front.set_tree(self._tree)
@@ -235,6 +243,8 @@
         self._publish_endpoint()
         self._send_all(self.members.tick(now, self.sync.state.offset))
         self._note_transitions()
+        if self._tree is not None and self.members.synced:
+            self._front.note_joined()
 
     def _note_transitions(self) -> None:
         transitions = self.members.take_transitions()
--- a/packages/catkintiller-standins/src/catkintiller_standins/at_most_once_test.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/at_most_once_test.py
@@ -76,6 +76,18 @@
             assert last.is_whole or last.ran == "unknown"
             assert harness.count_runs(running, "pay", key=ticket) <= 1
 
+    @harness.run_async
+    async def test_leaving_node_hands_an_unused_ticket_over(self) -> None:
+        async with harness.deployed() as running:
+            ticket = await harness.draw_ticket(running.nodes[0])
+            owner = await harness.find_owner(running, ticket)
+            node = f"127.0.0.1:{owner.node_port}"
+            await running.control(f"http://{node}/-/drain")
+            replies = [await harness.charge(n, ticket) for n in running.nodes]
+            assert harness.is_whole_charge(replies[0], ticket, replies[0].trace)
+            assert len({reply.body for reply in replies}) == 1
+            assert harness.count_runs(running, "pay", key=ticket) == 1
+
     @harness.run_async
     async def test_runs_while_the_log_is_down(self) -> None:
         async with harness.deployed() as running:
--- a/packages/catkintiller/src/catkintiller/data.py
+++ b/packages/catkintiller/src/catkintiller/data.py
@@ -231,7 +231,10 @@
 
 
 class CallRequest(NamedTuple):
-    """A call on its way from the node that received it to the serving node."""
+    """A call on its way from the node that received it to the serving node.
+
+    ``handed_by`` names the leaving incarnation that gave the key to the target.
+    """
 
     call_id: str
     target: str
@@ -242,6 +245,7 @@
     headers: tuple[tuple[str, str], ...]
     context: CallContext
     key: str
+    handed_by: str
     reply_to: str
 
 
--- a/packages/catkintiller/src/catkintiller/keys.py
+++ b/packages/catkintiller/src/catkintiller/keys.py
@@ -33,7 +33,8 @@
 class KeyState(enum.Enum):
     """How far the work of a key has come.
 
-    A key that is unclaimed needs a claim on the log before it is ready to run.
+    A key that is unclaimed needs a claim on the log before it is ready to run. A
+    key that was handed over may only run at the incarnation that it went to.
     """
 
     UNCLAIMED = "unclaimed"
@@ -41,6 +42,7 @@
     RUNNING = "running"
     FINISHED = "finished"
     LOST = "lost"
+    HANDED_OVER = "handed-over"
 
 
 class StoredAnswer(NamedTuple):
@@ -64,6 +66,7 @@
         self.state = KeyState.READY
         self.answer: StoredAnswer | None = None
         self.failure: Exception | None = None
+        self.successor = ""
         self.done = asyncio.Event()
 
 
--- a/packages/catkintiller/src/catkintiller/membership.py
+++ b/packages/catkintiller/src/catkintiller/membership.py
@@ -74,6 +74,7 @@
         self._periods = 0
         self._next_sync = 0.0
         self._transitions: list[Transition] = []
+        self._synced = not self._seeds
         self._by_service: dict[str, list[data.Member]] | None = None
         self._digest = 0
         self._buckets = [0] * DIGEST_BUCKETS
@@ -94,6 +95,11 @@
         """A hash over the whole table, equal at nodes that know the same."""
         return self._digest
 
+    @property
+    def synced(self) -> bool:
+        """Whether a peer has told its members, or there is no peer to ask."""
+        return self._synced
+
     def get(self, incarnation: str) -> data.Member | None:
         """Gets the record of an incarnation."""
         return self._members.get(incarnation)
@@ -176,6 +182,7 @@
             return self._send_different(message)
         for member in message.members:
             self._merge(now, member)
+        self._synced = True
         return []
 
     def _receive_ping(
