--- a/packages/catkintiller-node/src/catkintiller_node/settings_sync.py
+++ b/packages/catkintiller-node/src/catkintiller_node/settings_sync.py
@@ -28,7 +28,7 @@
 READ_WAIT_MS = 10_000
 IDLE_S = 0.5
 SNAPSHOT_EVERY_RECORDS = 2000
-SNAPSHOT_JITTER_S = 2.0
+SNAPSHOT_JITTER_S = 0.5
 
 
 class SettingsSync:
@@ -58,7 +58,8 @@
         self._tail_bytes = 0
         self._changed_at = 0.0
         self._snapshot_seen: float | None = None
-        self._since_snapshot = 0
+        self._snapshot_offset = 0
+        self._log_first = 1
         self._log_ok = True
 
     @property
@@ -129,14 +130,14 @@
         self._tail_bytes = 0
         self._adopt(snapshot.state)
 
-    async def _read_once(self) -> None:
+    async def _read_once(self, wait_ms: int = READ_WAIT_MS) -> None:
         start = self._state.offset + 1
-        # The first read must not wait, so that an empty log is known as empty.
-        wait_ms = READ_WAIT_MS if self._snapshot_seen is not None else 0
         if self._snapshot_seen is None:
+            # The age of the log's snapshots counts from the first read.
             self._snapshot_seen = time.monotonic()
         try:
             result = await self._log.read(STREAM, start, wait_ms)
+            self._log_first = result.first
             self._apply(result.records)
         except errors.LogTruncated as error:
             await self._recover(error.first)
@@ -169,10 +170,8 @@
         self._tail_bytes += len(record.body)
         while len(self._tail) > KEPT_RECORDS or self._tail_bytes > KEPT_BYTES:
             self._tail_bytes -= len(self._tail.popleft().body)
-        self._since_snapshot += 1
         if record.body[:1] == fold.SNAPSHOT_TAG:
-            self._snapshot_seen = time.monotonic()
-            self._since_snapshot = 0
+            self._note_snapshot(record.offset)
 
     def _adopt(self, state: data.SettingsState) -> None:
         self._state = state
@@ -189,23 +188,35 @@
         for member in self._rng.sample(others, min(PUSH_FANOUT, len(others))):
             self._mesh.send(member.address, data.SettingsTail(tuple(records)))
 
+    def _note_snapshot(self, offset: int) -> None:
+        self._snapshot_seen = time.monotonic()
+        self._snapshot_offset = max(self._snapshot_offset, offset)
+
+    def _is_snapshot_due(self) -> bool:
+        """Tells whether the newest snapshot is old, far back, or nearly dropped."""
+        if not self._state.offset or self._snapshot_seen is None:
+            return False
+        age_s = time.monotonic() - self._snapshot_seen
+        behind = self._state.offset - self._snapshot_offset
+        middle = (self._log_first + self._state.offset) / 2
+        endangered = self._log_first > 1 and self._snapshot_offset < middle
+        old = age_s >= self._snapshot_s or behind >= SNAPSHOT_EVERY_RECORDS
+        return old or endangered
+
     async def _write_snapshot_if_due(self) -> None:
         """Writes the folded state to the log before its records expire.
 
         Every reader may write one: a snapshot names the offset it covers, so one
         too many, or a late one, changes nothing.
         """
-        now = time.monotonic()
-        age = now - (self._snapshot_seen or now)
-        if self._since_snapshot < SNAPSHOT_EVERY_RECORDS and age < self._snapshot_s:
-            return
-        if not self._state.offset:
+        if not self._is_snapshot_due():
             return
+        known = self._snapshot_offset
         await asyncio.sleep(self._rng.uniform(0, SNAPSHOT_JITTER_S))
-        if self._snapshot_seen and self._snapshot_seen > now:
+        await self._read_once(wait_ms=0)
+        if self._snapshot_offset > known:
             return
-        self._snapshot_seen = time.monotonic()
-        self._since_snapshot = 0
+        self._note_snapshot(self._snapshot_offset)
         logger.info("settings: snapshot written at offset %d", self._state.offset)
         await self._log.append(STREAM, fold.encode_snapshot(self._state))
 
--- a/packages/catkintiller-node/src/catkintiller_node/tickets.py
+++ b/packages/catkintiller-node/src/catkintiller_node/tickets.py
@@ -53,8 +53,8 @@
             return_exceptions=True,
         )
         drawn = [result for result in results if isinstance(result, tuple)]
-        if not drawn:
-            raise results[0]
+        if not any(drawn):
+            raise errors.CallRefused(data.Refusal(data.Reason.NO_ENDPOINT, data.Ran.NO))
         rounds = itertools.zip_longest(*drawn)
         tickets = [ticket for turn in rounds for ticket in turn if ticket]
         return tickets[:count]
@@ -90,6 +90,8 @@
             return
         retention = settings.get_kind(me.service, "").key_retention
         count = max(1, min(MAX_TICKETS, request.count))
+        # A leaving node gives none: it would be gone before they are used.
+        count = count if me.accepting else 0
         tickets = tuple(self._keyed.draw_tickets(retention / 1000, count))
         answer = data.TicketAnswer(request.call_id, me.incarnation, tickets)
         self._mesh.send(request.reply_to, answer)
--- a/packages/catkintiller-standins/src/catkintiller_standins/load.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/load.py
@@ -191,8 +191,8 @@
         if key:
             sent["Idempotency-Key"] = key
         timeout = aiohttp.ClientTimeout(total=kind.deadline_ms / 1000 + 1.0)
-        for _ in range(CONNECT_TRIES):
-            node = self._rng.choice(self._plan.nodes)
+        tries = min(CONNECT_TRIES, len(self._plan.nodes))
+        for node in self._rng.sample(self._plan.nodes, tries):
             url = f"http://{node}/{kind.service}{kind.path}"
             try:
                 async with self._http.request(
--- a/packages/catkintiller/src/catkintiller/balance.py
+++ b/packages/catkintiller/src/catkintiller/balance.py
@@ -79,7 +79,7 @@
         if not usable:
             return None
         pool = self._prefer_zone(now, usable, spill, slow_start_s)
-        pair = self._rng.sample(pool, 2) if len(pool) > 2 else pool
+        pair = self._rng.sample(pool, min(2, len(pool)))
         best = min(pair, key=lambda candidate: candidate.cost)
         target = self._targets[best.member.incarnation]
         if target.ejections and target.ejected_until <= now:
--- a/packages/catkintiller/src/catkintiller/logclient.py
+++ b/packages/catkintiller/src/catkintiller/logclient.py
@@ -37,8 +37,12 @@
 
 
 class ReadResult(NamedTuple):
-    """Records from the asked offset on, and the offset to read next."""
+    """Records from the asked offset on, and the offset to read next.
 
+    ``first`` is the oldest offset that the log still keeps.
+    """
+
+    first: int
     records: list[data.LogRecord]
     next_offset: int
 
@@ -111,7 +115,7 @@
             data.LogRecord(offset, base64.b64decode(body))
             for offset, body in reply["records"]
         ]
-        return ReadResult(records, reply["next"])
+        return ReadResult(reply["first"], records, reply["next"])
 
 
 async def read_to_end(log: LogClient, stream: str, start: int) -> list[data.LogRecord]:
--- a/packages/catkintiller/src/catkintiller/membership.py
+++ b/packages/catkintiller/src/catkintiller/membership.py
@@ -151,7 +151,10 @@
         self._next_period = now + PERIOD_S
         self._periods += 1
         self._forget_old(now)
-        if len(self.get_alive()) < 2 or self._periods % RETRY_GONE_EVERY == 0:
+        if not self._synced:
+            request = data.MembersRequest(self._me)
+            sends.extend(Send(seed, request) for seed in self._seeds)
+        elif self._periods % RETRY_GONE_EVERY == 0:
             sends.extend(self._contact_lost())
         subject = self._choose_subject()
         if subject:
--- /dev/null
+++ b/packages/catkintiller/src/catkintiller/policy_test.py
@@ -0,0 +1,260 @@
+"""Budgets, keys, limits, admission and balance: pure decisions, time given."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from . import admission, balance, budget, data, keys, limits, rank
+
+
+class TestChainBudget:
+    """No shape of a chain spends more than the root's budget."""
+
+    @given(st.integers(0, 6), st.randoms(use_true_random=False))
+    def test_whole_tree_of_calls(self, retries: int, rng: random.Random) -> None:
+        spent = spend_in_tree(budget.ChainBudget(retries), rng, 13)
+        assert spent <= retries
+
+    @given(st.integers(0, 9), st.integers(-5, 50))
+    def test_answers_return_no_more_than_was_lent(self, left: int, back: int) -> None:
+        held = budget.ChainBudget(left)
+        share = held.lend_share()
+        held.take_back(share, back)
+        assert held.left <= left
+
+
+def spend_in_tree(held: budget.ChainBudget, rng: random.Random, depth: int) -> int:
+    """Spends, lends and loses retries like a chain of calls with fan-out."""
+    spent = 0
+    for _ in range(rng.randint(0, 2) if depth else 0):
+        share = held.lend_share()
+        child = budget.ChainBudget(share)
+        spent += spend_in_tree(child, rng, depth - 1)
+        if rng.random() < 0.7:
+            held.take_back(share, child.left)
+    while rng.random() < 0.5 and held.spend():
+        spent += 1
+    return spent
+
+
+class TestRetryRatio:
+    """Retries are a share of successes."""
+
+    def test_bounded_by_successes(self) -> None:
+        ratio = budget.RetryRatio()
+        retries = 0
+        for _ in range(1000):
+            ratio.record_success(0.1)
+            while ratio.has_token():
+                ratio.spend()
+                retries += 1
+        assert retries <= 1000 * 0.1 + budget.RATIO_BURST
+
+
+class TestTickets:
+    """A fresh ticket without an entry has not run, whatever the settings do."""
+
+    @given(
+        st.floats(1, 3600),
+        st.lists(st.tuples(st.floats(0, 4000), st.floats(1, 3600)), max_size=20),
+    )
+    def test_entry_lives_as_long_as_the_ticket(self, retention, steps) -> None:
+        now = 100.0
+        table = keys.KeyTable("me", now)
+        key = table.draw_tickets(now, retention, 1)[0]
+        table.add(now, key, b"", retention).state = keys.KeyState.FINISHED
+        for elapsed, changed_retention in steps:
+            now += elapsed
+            table.sweep(now, changed_retention)
+            if table.is_current(now, keys.parse_ticket(key)):
+                assert table.get(key) is not None
+
+    def test_ticket_of_another_incarnation(self) -> None:
+        key = keys.format_ticket("other", 10_000)
+        table = keys.KeyTable("me", 0.0)
+        assert not table.is_current(1.0, keys.parse_ticket(key))
+
+    @given(st.text(max_size=60))
+    def test_any_text_is_a_ticket_or_a_plain_key(self, text: str) -> None:
+        ticket = keys.parse_ticket(text)
+        assert ticket is None or ticket.expires_ms >= 0
+
+
+class TestClaims:
+    """The first claim in offset order wins at every reader."""
+
+    @given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 3)), max_size=30))
+    def test_first_wins(self, drawn) -> None:
+        table = keys.ClaimTable()
+        first: dict[str, str] = {}
+        for offset, (key, owner) in enumerate(drawn, start=1):
+            claim = data.Claim(str(key), b"", str(owner))
+            table.apply(0.0, offset, (claim,))
+            table.apply(0.0, offset, (claim._replace(incarnation="late"),))
+            first.setdefault(str(key), str(owner))
+        for key, owner in first.items():
+            assert table.find_winner(key).incarnation == owner
+
+
+class TestAdmission:
+    """Who runs, who waits, who is refused."""
+
+    def make(self, slots: int = 2, queue_s: float = 0.1) -> admission.Admission:
+        return admission.Admission(limits.StaticLimiter(slots), slots, queue_s)
+
+    def test_higher_class_runs_first(self) -> None:
+        gate = self.make(slots=1)
+        woken = []
+        high, low = 4 * rank.CLASS_WIDTH, rank.CLASS_WIDTH
+        gate.offer(0.0, low, 9.0, woken.append)
+        for order, call_rank in enumerate([low, high, low, high]):
+            gate.offer(0.0, call_rank, 9.0, lambda r, o=order: woken.append((o, r)))
+        for _ in range(4):
+            gate.finish(0.01, "k", 0.01, 0.01, False)
+        assert [order for order, _ in woken] == [1, 3, 0, 2]
+
+    def test_waiting_is_bounded_in_time(self) -> None:
+        gate = self.make(slots=1)
+        woken = []
+        gate.offer(0.0, 70, 9.0, woken.append)
+        gate.offer(0.0, 70, 9.0, woken.append)
+        gate.tick(0.2)
+        assert woken == [data.Reason.QUEUE_TIMEOUT]
+
+    def test_level_sheds_low_classes_and_never_the_highest(self) -> None:
+        gate = self.make(slots=1)
+        now, verdicts = 0.0, {}
+        gate.offer(now, 4 * rank.CLASS_WIDTH, 99.0, lambda r: None)
+        for step in range(200):
+            now += 0.02
+            for call_rank in (rank.CLASS_WIDTH + step % 16, 4 * rank.CLASS_WIDTH):
+                priority = rank.get_priority(call_rank)
+                verdicts[priority] = gate.offer(now, call_rank, 99.0, lambda r: None)
+        assert verdicts[1] is admission.Verdict.REFUSE
+        assert verdicts[4] is not admission.Verdict.REFUSE
+
+    def test_level_falls_when_the_overload_ends(self) -> None:
+        gate = self.make(slots=1)
+        gate.offer(0.0, 300, 99.0, lambda r: None)
+        for step in range(100):
+            gate.offer(step * 0.02, 70 + step % 10, 99.0, lambda r: None)
+        assert gate.level > rank.LOWEST
+        gate.release(2.0)
+        for step in range(40):
+            gate.tick(2.1 + step * 0.05)
+        assert gate.level == rank.LOWEST
+
+    @given(st.lists(st.sampled_from("ofwcrt"), max_size=80), st.integers(1, 3))
+    def test_slots_are_never_exceeded_nor_lost(self, steps, slots) -> None:
+        gate = self.make(slots)
+        running, waiting = [], []
+        now = 0.0
+        for step in steps:
+            now += 0.01
+            if step in "of" and step == "o":
+                self.offer(gate, now, running, waiting)
+            elif step == "f" and running:
+                running.pop()
+                gate.finish(now, "k", 0.01, 0.01, False)
+            elif step == "r" and running:
+                running.pop()
+                gate.release(now)
+            elif step == "w" and waiting:
+                gate.withdraw(waiting.pop())
+            elif step == "t":
+                now += 0.2
+                gate.tick(now)
+            assert gate.in_flight == len(running) <= slots
+            assert gate.waiting == len(waiting)
+
+    @staticmethod
+    def offer(gate, now: float, running: list, waiting: list) -> None:
+        """Offers a request and follows it in ``running`` and ``waiting``."""
+
+        def wake(reason: data.Reason | None) -> None:
+            waiting.remove(wake)
+            if reason is None:
+                running.append(wake)
+
+        waiting.append(wake)
+        verdict = gate.offer(now, 70, 99.0, wake)
+        if verdict is admission.Verdict.WAIT:
+            return
+        waiting.remove(wake)
+        if verdict is admission.Verdict.RUN:
+            running.append(wake)
+
+
+class TestAdaptiveLimiter:
+    """The limit follows congestion, not the mix of kinds."""
+
+    def feed(self, limiter, seconds: float, slow: float, now: float = 0.0) -> float:
+        rng = random.Random(3)
+        for _ in range(int(seconds / 0.005)):
+            now += 0.005
+            kind, mean = rng.choice((("a", 0.01), ("b", 0.1)))
+            work = mean * rng.uniform(0.7, 1.3) * slow
+            limiter.record(now, kind, work, False, limiter.limit)
+        return now
+
+    def test_reaches_the_slots_with_mixed_kinds(self) -> None:
+        limiter = limits.AdaptiveLimiter(40, "recovery")
+        self.feed(limiter, 5.0, 1.0)
+        assert limiter.limit == 40
+
+    def test_falls_when_work_slows_down(self) -> None:
+        limiter = limits.AdaptiveLimiter(40, "goodput")
+        now = self.feed(limiter, 5.0, 1.0)
+        self.feed(limiter, 2.0, 5.0, now)
+        assert limiter.limit < 10
+
+
+class TestBalancer:
+    """The choice of the serving node."""
+
+    def make_members(self, count: int) -> list[data.Member]:
+        return [
+            data.Member(str(i), f"a{i}", "", "r", f"z{i % 2}", "s", "", 0, 0, True)
+            for i in range(count)
+        ]
+
+    def choose(self, balancer, now, members) -> str:
+        return balancer.choose(now, members, 0.7, 0.34, 0.0).member.incarnation
+
+    def test_failing_node_is_ejected_and_probed(self) -> None:
+        balancer = balance.Balancer("none", random.Random(1))
+        members = self.make_members(3)
+        for _ in range(balance.EJECT_AFTER_FAILURES):
+            balancer.record_sent(0.0, "1")
+            balancer.record_done(0.0, "1", True)
+        chosen = {self.choose(balancer, 0.1, members) for _ in range(50)}
+        assert "1" not in chosen
+        later = balance.EJECT_S + 0.2
+        chosen = [self.choose(balancer, later, members) for _ in range(50)]
+        assert chosen.count("1") == 1
+
+    def test_no_more_than_the_share_is_ejected(self) -> None:
+        balancer = balance.Balancer("none", random.Random(1))
+        members = self.make_members(3)
+        for member in members:
+            for _ in range(balance.EJECT_AFTER_FAILURES):
+                balancer.record_done(0.0, member.incarnation, True)
+        assert self.choose(balancer, 0.1, members) in {"0", "1", "2"}
+
+    def test_own_zone_first_then_spill(self) -> None:
+        balancer = balance.Balancer("z0", random.Random(1))
+        members = self.make_members(4)
+        chosen = {self.choose(balancer, 0.0, members) for _ in range(40)}
+        assert chosen == {"0", "2"}
+        for incarnation in ("0", "2"):
+            for _ in range(balance.DEFAULT_LIMIT):
+                balancer.record_sent(0.0, incarnation)
+        chosen = {self.choose(balancer, 0.0, members) for _ in range(40)}
+        assert {"1", "3"} & chosen
+
+    def test_repeats_of_a_key_meet(self) -> None:
+        members = self.make_members(9)
+        first = balance.choose_by_key(members, "k")
+        fewer = [m for m in members if m != members[0] or m == first]
+        assert balance.choose_by_key(list(reversed(fewer)), "k") == first
--- /dev/null
+++ b/packages/catkintiller/src/catkintiller/settings_text_test.py
@@ -0,0 +1,110 @@
+"""Loading, checking and explaining settings texts."""
+
+from . import data, fold, ini, options, reference, tree, validate
+
+TEXT = """\
+[root]
+slots = 10
+[service/shop]
+slots = 20
+[service/shop/endpoint/shop-1]
+slots = 30
+[service/shop/kind/look]
+match = GET /look
+deadline = 1.5 s
+"""
+
+
+def make_tree(text: str) -> tree.Tree:
+    """Makes a tree of a text."""
+    entries, problems = ini.parse_ini(text, "text")
+    assert not problems + validate.validate_entries(entries)
+    changes = tuple(data.Change(*entry[:3]) for entry in entries)
+    commit = data.Commit("c1", "", "", {}, changes)
+    values = fold.apply_changes({}, commit)
+    return tree.Tree(fold.EMPTY._replace(values=values))
+
+
+class TestLoading:
+    """Every problem at once, each with its line."""
+
+    def test_all_problems_are_told(self) -> None:
+        text = "slots = 1\n[root]\nslots\nslots = 0\nslots = 2\nslots = 2\nx = 1\n"
+        entries, problems = ini.parse_ini(text, "f.ini")
+        problems += validate.validate_entries(entries)
+        found = {(p.source.line, p.kind) for p in problems}
+        kind = data.ProblemKind
+        assert found == {
+            (1, kind.SYNTAX),
+            (3, kind.SYNTAX),
+            (4, kind.OUT_OF_RANGE),
+            (5, kind.DUPLICATE),
+            (6, kind.DUPLICATE),
+            (7, kind.UNKNOWN_SETTING),
+        }
+        assert all("allowed" in validate.format_problem(p) for p in problems)
+
+    def test_wrong_level_and_path(self) -> None:
+        text = "[place/r]\nslots = 1\n[nowhere]\nslots = 1\n"
+        problems = validate.validate_entries(ini.parse_ini(text, "f")[0])
+        kinds = [p.kind for p in problems]
+        assert kinds == [data.ProblemKind.WRONG_LEVEL, data.ProblemKind.UNKNOWN_PATH]
+
+    def test_kind_without_match(self) -> None:
+        values = make_tree("[service/s/kind/k]\ndeadline = 1 s\n").state.values
+        problems = validate.validate_values(values)
+        assert [p.kind for p in problems] == [data.ProblemKind.MISSING]
+
+    def test_every_declared_text_parses(self) -> None:
+        for setting in options.SETTINGS.values():
+            for text in filter(None, (setting.default, setting.example)):
+                found = options.parse_value(setting, text)
+                assert not isinstance(found, options.ValueRejected), setting.name
+
+    def test_written_text_reads_back(self) -> None:
+        values = {"root": {"slots": "3"}, "service/a": {"deadline": "2 s"}}
+        entries, problems = ini.parse_ini(ini.format_ini(values), "f")
+        assert not problems
+        assert {(e.path, e.name, e.value) for e in entries} == {
+            ("root", "slots", "3"),
+            ("service/a", "deadline", "2 s"),
+        }
+
+
+class TestTree:
+    """Inheritance and its explanation."""
+
+    def test_nearest_value_holds(self) -> None:
+        found = make_tree(TEXT)
+        assert found.get_endpoint("shop", "shop-1").slots == 30
+        assert found.get_endpoint("shop", "shop-2").slots == 20
+        assert found.get_endpoint("other", "o-1").slots == 10
+        assert found.get_kind("shop", "look").deadline == 1500
+
+    def test_explain_tells_source_and_shadows(self) -> None:
+        explained = make_tree(TEXT).explain("service/shop/endpoint/shop-1", "slots")
+        assert explained.path == "service/shop/endpoint/shop-1"
+        assert explained.shadows[:2] == (("service/shop", "20"), ("root", "10"))
+
+    def test_clearing_inherits_again(self) -> None:
+        state = make_tree(TEXT).state
+        change = data.Change("service/shop", "slots", None)
+        commit = data.Commit("c2", "", "", {}, (change,))
+        values = fold.apply_changes(state.values, commit)
+        cleared = tree.Tree(state._replace(values=values))
+        assert cleared.get_endpoint("shop", "shop-2").slots == 10
+
+    def test_longest_match_wins(self) -> None:
+        text = TEXT + "[service/shop/kind/near]\nmatch = GET /look/near\n"
+        found = make_tree(text)
+        assert found.find_kind("shop", "GET", "/look/near?x=1") == "near"
+        assert found.find_kind("shop", "GET", "/look?x=1") == "look"
+        assert found.find_kind("shop", "POST", "/look") == ""
+
+
+class TestReference:
+    """The generated page names every setting."""
+
+    def test_every_setting_is_on_the_page(self) -> None:
+        page = reference.format_reference()
+        assert all(f"## `{name}`" in page for name in options.SETTINGS)
