--- a/packages/catkintiller-standins/src/catkintiller_standins/deployment.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/deployment.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
 import sys
@@ -20,6 +21,7 @@
 _NODE_MODULE = "catkintiller_node.main"
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 60.0
+PORTS = (10_000, 32_000)
 
 
 class Slot(NamedTuple):
@@ -39,17 +41,15 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Finds free ports on loopback."""
-    sockets = []
-    for _ in range(count):
-        found = socket.socket()
-        found.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        found.bind(("127.0.0.1", 0))
-        sockets.append(found)
-    ports = [found.getsockname()[1] for found in sockets]
-    for found in sockets:
-        found.close()
-    return ports
+    """Finds free ports on loopback, below those given to outgoing connections."""
+    rng = random.SystemRandom()
+    ports: set[int] = set()
+    while len(ports) < count:
+        port = rng.randrange(*PORTS)
+        with socket.socket() as found:
+            if found.connect_ex(("127.0.0.1", port)):
+                ports.add(port)
+    return list(ports)
 
 
 class Deployment:
--- a/packages/catkintiller-standins/src/catkintiller_standins/harness.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/harness.py
@@ -59,7 +59,7 @@
         settings = f"examples/{name}/settings.ini"
         running = deployment.Deployment(form, settings, folder, seed)
         if proxied:
-            await _start_proxies(running)
+            await start_proxies(running)
         try:
             await running.start()
             yield running
@@ -69,7 +69,8 @@
                 await proxy.close()
 
 
-async def _start_proxies(running: deployment.Deployment) -> None:
+async def start_proxies(running: deployment.Deployment) -> None:
+    """Puts a proxy before the mesh address of each node."""
     for slot in running.slots:
         proxy = TCPProxy("127.0.0.1", slot.mesh_port)
         await proxy.start()
@@ -78,6 +79,14 @@
         running.advertised[f"127.0.0.1:{slot.mesh_port}"] = address
 
 
+def ignore_cut_connections(
+    loop: asyncio.AbstractEventLoop, context: dict[str, object]
+) -> None:
+    """Handles the exceptions that a proxy's tasks leave behind when it cuts."""
+    if not isinstance(context.get("exception"), ConnectionError):
+        loop.default_exception_handler(context)
+
+
 async def cut(proxy: TCPProxy) -> None:
     """Drops everything that goes through a proxy, without closing it."""
 
