--- /dev/null
+++ b/packages/catkintiller-node/src/catkintiller_node/remote_test.py
@@ -0,0 +1,116 @@
+"""Answers reach only the attempt that they belong to; requests go out once."""
+
+import asyncio
+
+import pytest
+from catkintiller import data, errors
+
+from . import endpoint, remote, serving
+
+
+class FakeMesh:
+    """Keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list = []
+
+    def send(self, address, message, body=b"", on_unsent=None) -> None:
+        self.sent.append((message, on_unsent))
+
+
+def make_request(call_id: str, key: str = "") -> data.CallRequest:
+    """Makes a request to the node ``there``."""
+    context = data.CallContext("t" * 32, 100, 300, 2, 0)
+    return data.CallRequest(
+        call_id, "there", "s", "k", "GET", "/", (), context, key, "", "here:1"
+    )
+
+
+def make_answer(call_id: str, source: str, length: int) -> data.CallAnswer:
+    """Makes an answer of a node."""
+    return data.CallAnswer(
+        call_id, source, 200, (), length, None, 2, "", 0, 0, serving.IDLE_FEEDBACK
+    )
+
+
+MEMBER = data.Member("there", "a:1", "", "r", "z", "s", "", 0, 0, True)
+
+
+class TestAnswers:
+    """Late, swapped, repeated and cut answers are discarded."""
+
+    def test_only_the_whole_own_answer_counts(self) -> None:
+        async def run() -> None:
+            mesh = FakeMesh()
+            sender = remote.MeshSender("here", mesh, None)
+            first = asyncio.ensure_future(sender.send(MEMBER, make_request("1"), b""))
+            second = asyncio.ensure_future(sender.send(MEMBER, make_request("2"), b""))
+            await asyncio.sleep(0)
+            sender.receive_answer(make_answer("1", "elsewhere", 3), b"bad")
+            sender.receive_answer(make_answer("1", "there", 9), b"cut")
+            sender.receive_answer(make_answer("9", "there", 3), b"old")
+            assert not first.done() and not second.done()
+            sender.receive_answer(make_answer("2", "there", 3), b"two")
+            sender.receive_answer(make_answer("1", "there", 3), b"one")
+            sender.receive_answer(make_answer("1", "there", 3), b"dup")
+            assert (await first).body == b"one"
+            assert (await second).body == b"two"
+            assert sender.discarded == 4
+            sender.receive_answer(make_answer("1", "there", 3), b"late")
+            assert sender.discarded == 5
+
+        asyncio.run(run())
+
+    def test_unsent_is_known_as_not_run_unless_a_key_may_have(self) -> None:
+        async def run(key: str) -> data.Ran:
+            mesh = FakeMesh()
+            sender = remote.MeshSender("here", mesh, None)
+            request = make_request("1", key)
+            task = asyncio.ensure_future(sender.send(MEMBER, request, b""))
+            await asyncio.sleep(0)
+            mesh.sent[0][1]()
+            return (await task).answer.refusal.ran
+
+        assert asyncio.run(run("")) is data.Ran.NO
+        assert asyncio.run(run("key")) is data.Ran.UNKNOWN
+
+    def test_silence_is_unknown_and_cancels(self) -> None:
+        async def run() -> None:
+            mesh = FakeMesh()
+            sender = remote.MeshSender("here", mesh, None)
+            result = await sender.send(MEMBER, make_request("1"), b"")
+            assert result.answer.refusal.ran is data.Ran.UNKNOWN
+            assert isinstance(mesh.sent[-1][0], data.CallCancel)
+
+        asyncio.run(run())
+
+
+class TestEndpointClient:
+    """Each request goes out exactly once."""
+
+    def test_broken_kept_connection_is_not_used_again(self) -> None:
+        requests = 0
+
+        async def serve(reader, writer) -> None:
+            nonlocal requests
+            while await reader.readuntil(b"\r\n\r\n"):
+                requests += 1
+                if requests == 2:
+                    writer.close()
+                    return
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+        async def run() -> None:
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            info = endpoint.EndpointInfo("s", "s-1", f"127.0.0.1:{port}", 1)
+            async with endpoint.make_session() as http:
+                client = endpoint.EndpointClient(http)
+                await client.call(info, make_request("1"), b"", 1.0, 99)
+                with pytest.raises(errors.CallRefused) as caught:
+                    await client.call(info, make_request("2"), b"", 1.0, 99)
+                assert caught.value.refusal.ran is data.Ran.UNKNOWN
+            server.close()
+
+        asyncio.run(run())
+        assert requests == 2
--- a/packages/catkintiller-standins/src/catkintiller_standins/deployment.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/deployment.py
@@ -15,7 +15,7 @@
 import msgspec
 from aiomisc.pytest import TCPProxy
 
-from . import endpoint, load, shape
+from . import endpoint, ledger, load, shape
 
 MESH_KEY = "5f" * 32
 _NODE_MODULE = "catkintiller_node.main"
@@ -71,6 +71,7 @@
         self._processes: dict[str, asyncio.subprocess.Process] = {}
         self.slots: list[Slot] = []
         self.advertised: dict[str, str] = {}
+        self.retries_per_call = 0
         self.proxies: dict[str, TCPProxy] = {}
         self._assign()
 
@@ -246,8 +247,7 @@
         for slot in self.slots:
             file = self._get_ledger(slot)
             if os.path.exists(file):
-                with open(file, "rb") as stream:
-                    lines.extend(msgspec.json.decode(line) for line in stream)
+                lines.extend(ledger.read_lines(file))
         return lines
 
     def _assign(self) -> None:
@@ -299,6 +299,7 @@
             self._get_ledger(slot),
             self._seed + slot.endpoint_port,
             tuple(k.plan for k in self._shape.kinds if k.service == slot.service),
+            self.retries_per_call,
         )
 
     async def _spawn(self, name: str, arguments: list[str]) -> None:
--- a/packages/catkintiller-standins/src/catkintiller_standins/endpoint.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/endpoint.py
@@ -53,6 +53,7 @@
     ledger: str
     seed: int
     kinds: tuple[KindPlan, ...]
+    retries_per_call: int = 0
 
 
 class Faults(TypedDict, total=False):
@@ -171,11 +172,18 @@
         spent_ms = (time.monotonic() - began) * 1000
         whole = self._rng.random() >= self._faults["fail"]
         for call in kind.calls:
-            whole = whole and await self._call(request, call) < 400
+            whole = whole and await self._call_again(request, call)
         event = "end" if whole else "failed"
         self._write(event, trace, key, kind, spent_ms)
         return whole
 
+    async def _call_again(self, request: web.BaseRequest, call: ChildCall) -> bool:
+        """Calls as often as the plan allows, as services without control do."""
+        for _ in range(1 + self._plan.retries_per_call):
+            if await self._call(request, call) < 400:
+                return True
+        return False
+
     async def _call(self, request: web.BaseRequest, call: ChildCall) -> int:
         passed = {
             name: request.headers[name]
--- a/packages/catkintiller-standins/src/catkintiller_standins/ledger.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/ledger.py
@@ -8,6 +8,8 @@
 import statistics
 from typing import NamedTuple
 
+import msgspec
+
 from . import load
 
 BUCKET_S = 0.25
@@ -48,6 +50,13 @@
     wasted_share: float
 
 
+def read_lines(file: str) -> list[dict]:
+    """Reads the lines of one endpoint's ledger; a cut last line is left out."""
+    with open(file, "rb") as stream:
+        lines = stream.read().split(b"\n")
+    return [msgspec.json.decode(line) for line in lines[:-1]]
+
+
 def compute_kinds(
     results: list[load.RootResult], stages: tuple[load.Stage, ...]
 ) -> list[KindFigures]:
--- a/packages/catkintiller-standins/src/catkintiller_standins/truth_test.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/truth_test.py
@@ -76,6 +76,8 @@
             replies = await asyncio.gather(*calls)
             for reply in replies:
                 assert not reply.is_whole or reply.body == own_body(reply)
+                ran = harness.count_runs(running, "shop", reply.trace) > 0
+                assert not (ran and reply.ran == "no")
             assert any(reply.is_whole for reply in replies)
 
     @harness.run_async
