Keep a node's control cost flat at 25,000 members and settings

Cause: measured slopes. At 25,000 members a node spent 23.8 ms/s on membership, at 25,000 leaves 71.6 ms to fold a commit and 43.4 ms to build the tree: 5.7% of a core in all, the bound is 1.2%. Found: gossip sorted the whole table for each message and told every member of a page as news; forgetting looked at every member each period; a commit's check and the tree looked at every path with regular expressions. Change: pages of more than 64 members are no news; ended members are kept apart; only the services that a commit touches are checked; readers of a zone are chosen every 2 s.

--- a/packages/catkintiller-node/src/catkintiller_node/settings_sync.py
+++ b/packages/catkintiller-node/src/catkintiller_node/settings_sync.py
@@ -22,6 +22,7 @@
 
 STREAM = "settings"
 READERS_PER_ZONE = 2
+READERS_TTL_S = 2.0
 PUSH_FANOUT = 3
 KEPT_RECORDS = 2000
 KEPT_BYTES = 2 * 1024 * 1024
@@ -60,6 +61,8 @@
         self._snapshot_seen: float | None = None
         self._snapshot_offset = 0
         self._log_first = 1
+        self._reads = False
+        self._readers_expire = 0.0
         self._log_ok = True
 
     @property
@@ -74,10 +77,15 @@
 
     def is_reader(self) -> bool:
         """Tells whether this node is one of its zone's readers of the log."""
-        me = self._members.me
-        zone = [m for m in self._members.get_alive() if m.zone == me.zone]
-        zone.sort(key=lambda member: _hash_incarnation(member.incarnation))
-        return me in zone[:READERS_PER_ZONE]
+        now = time.monotonic()
+        if now >= self._readers_expire:
+            me = self._members.me
+            zone = [m for m in self._members.get_alive() if m.zone == me.zone]
+            zone.sort(key=lambda member: _hash_incarnation(member.incarnation))
+            names = [member.incarnation for member in zone[:READERS_PER_ZONE]]
+            self._reads = me.incarnation in names
+            self._readers_expire = now + READERS_TTL_S
+        return self._reads
 
     async def follow(self) -> None:
         """Reads the log, when it is this node's turn, for as long as it runs."""
--- a/packages/catkintiller-operator/src/catkintiller_operator/settings_queries.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/settings_queries.py
@@ -25,7 +25,9 @@
     entries = load_entries(file)
     changes = [data.Change(*entry[:3]) for entry in entries]
     commit = data.Commit("check", "", "", {}, tuple(changes))
-    problems = validate.validate_values(fold.apply_changes({}, commit))
+    services = {paths.get_service(entry.path) for entry in entries}
+    values = fold.apply_changes({}, commit)
+    problems = validate.validate_values(values, services)
     if problems:
         raise errors.SettingsInvalid(problems)
     print(f"{file}: good, {len(entries)} settings")
--- a/packages/catkintiller/src/catkintiller/fold.py
+++ b/packages/catkintiller/src/catkintiller/fold.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from . import data, errors, validate
+from . import data, errors, paths, validate
 
 COMMIT_TAG = b"C"
 SNAPSHOT_TAG = b"S"
@@ -92,7 +92,9 @@
     ]
     problems = validate.validate_entries(entries, tolerate_unknown=True)
     if not problems:
-        problems = validate.validate_values(apply_changes(state.values, commit))
+        services = {paths.get_service(change.path) for change in commit.changes}
+        values = apply_changes(state.values, commit)
+        problems = validate.validate_values(values, services)
     if problems:
         kind = data.OutcomeKind.INVALID
         return data.Outcome(kind, offset, commit, problems=tuple(problems))
--- a/packages/catkintiller/src/catkintiller/membership.py
+++ b/packages/catkintiller/src/catkintiller/membership.py
@@ -7,6 +7,7 @@
 methods return the messages to send, so the protocol is tested without sockets.
 """
 
+import heapq
 import random
 import secrets
 import zlib
@@ -23,6 +24,7 @@
 RETRY_GONE_EVERY = 10
 FORGET_S = 120.0
 PAGE_MEMBERS = 500
+SMALL_PAGE_MEMBERS = 64
 SYNC_EVERY_S = 5.0
 DIGEST_BUCKETS = 256
 BUCKETS_PER_SYNC = 4
@@ -64,7 +66,7 @@
         self._seeds = [seed for seed in seeds if seed != me.address]
         self._rng = rng
         self._members: dict[str, data.Member] = {me.incarnation: me}
-        self._changed: dict[str, float] = {}
+        self._ended: dict[str, float] = {}
         self._gossip: dict[str, int] = {me.incarnation: 0}
         self._probes: dict[str, _Probe] = {}
         self._relays: dict[str, tuple[str, str]] = {}
@@ -183,8 +185,11 @@
             return self._send_pages(message.source.address, self.members)
         if isinstance(message, data.MembersDigest):
             return self._send_different(message)
+        # A large page tells what most others know already; passing it on would
+        # only crowd out news.
+        is_news = len(message.members) <= SMALL_PAGE_MEMBERS
         for member in message.members:
-            self._merge(now, member)
+            self._merge(now, member, is_news)
         self._synced = True
         return []
 
@@ -271,17 +276,13 @@
 
     def _contact_lost(self) -> list[Send]:
         """Tries seeds and gone members again, so that a healed cut rejoins."""
-        gone = [
-            member.address
-            for member in self._members.values()
-            if member.state is data.MemberState.GONE
-        ]
+        gone = [self._members[incarnation].address for incarnation in self._ended]
         addresses = [*self._seeds]
         if gone:
             addresses.append(self._rng.choice(gone))
-        known = {member.address for member in self.get_alive()}
+        alive = {member.address for member in self.get_alive()}
         request = data.MembersRequest(self._me)
-        return [Send(address, request) for address in addresses if address not in known]
+        return [Send(address, request) for address in addresses if address not in alive]
 
     def _choose_subject(self) -> data.Member | None:
         while self._order:
@@ -335,21 +336,18 @@
                 self._set_state(now, member, data.MemberState.GONE)
 
     def _forget_old(self, now: float) -> None:
-        for incarnation, changed in list(self._changed.items()):
-            member = self._members.get(incarnation)
-            if member is None or member.state < data.MemberState.GONE:
-                continue
-            if now - changed > FORGET_S:
-                del self._members[incarnation], self._changed[incarnation]
+        for incarnation, ended in list(self._ended.items()):
+            if now - ended > FORGET_S:
+                del self._ended[incarnation]
                 self._gossip.pop(incarnation, None)
-                self._toggle_digest(member)
+                self._toggle_digest(self._members.pop(incarnation))
 
     def _set_state(
         self, now: float, member: data.Member, state: data.MemberState
     ) -> None:
         self._store(member._replace(state=state), now)
 
-    def _merge(self, now: float, member: data.Member) -> None:
+    def _merge(self, now: float, member: data.Member, is_news: bool = True) -> None:
         if member.incarnation == self._me.incarnation:
             self._refute(member)
             return
@@ -357,7 +355,7 @@
         if known is None and member.state >= data.MemberState.GONE:
             return
         if known is None or _is_newer(member, known):
-            self._store(member, now)
+            self._store(member, now, is_news)
 
     def _refute(self, claim: data.Member) -> None:
         """Contradicts a record that calls this live node something else."""
@@ -367,14 +365,18 @@
             self._me = self._me._replace(beat=claim.beat)
             self.update_me()
 
-    def _store(self, member: data.Member, now: float) -> None:
+    def _store(self, member: data.Member, now: float, is_news: bool = True) -> None:
         known = self._members.get(member.incarnation)
         if known:
             self._toggle_digest(known)
         self._toggle_digest(member)
         self._members[member.incarnation] = member
-        self._changed[member.incarnation] = now
-        self._gossip[member.incarnation] = 0
+        if member.state >= data.MemberState.GONE:
+            self._ended[member.incarnation] = now
+        else:
+            self._ended.pop(member.incarnation, None)
+        if is_news:
+            self._gossip[member.incarnation] = 0
         self._by_service = None
         if member.state is data.MemberState.SUSPECT:
             self._suspected.setdefault(member.incarnation, now)
@@ -387,13 +389,14 @@
     def _pick_gossip(self, receiver: data.Member) -> tuple[data.Member, ...]:
         """Picks the news told least often; old news is dropped."""
         rounds = GOSSIP_ROUNDS_FACTOR * len(self._members).bit_length()
-        chosen = sorted(self._gossip, key=self._gossip.__getitem__)
+        told = self._gossip.__getitem__
+        chosen = heapq.nsmallest(GOSSIP_PER_MESSAGE, self._gossip, key=told)
         picked = []
         known = self._members.get(receiver.incarnation)
         if known and known.state is not data.MemberState.ALIVE:
             # The accused must hear of it, so that it can contradict.
             picked.append(known)
-        for incarnation in chosen[:GOSSIP_PER_MESSAGE]:
+        for incarnation in chosen:
             picked.append(self._members[incarnation])
             self._gossip[incarnation] += 1
             if self._gossip[incarnation] > rounds:
--- a/packages/catkintiller/src/catkintiller/paths.py
+++ b/packages/catkintiller/src/catkintiller/paths.py
@@ -5,6 +5,7 @@
 """
 
 import re
+from collections.abc import Iterable
 
 from . import data
 
@@ -45,6 +46,26 @@
     return lineage
 
 
+def get_service(path: str) -> str:
+    """Gets the service that a path belongs to, ``""`` if it belongs to none."""
+    parts = path.split("/", 2)
+    return parts[1] if parts[0] == "service" and len(parts) > 1 else ""
+
+
+def iter_kinds(found: Iterable[str], services: set[str] | None = None):
+    """Yields the paths of kinds of request, of all services or of some.
+
+    Plain text tests keep this quick for a tree of many endpoints.
+    """
+    prefixes = None
+    if services is not None:
+        prefixes = tuple(f"service/{service}/kind/" for service in services)
+    for path in found:
+        if path.startswith(prefixes) if prefixes is not None else "/kind/" in path:
+            if get_level(path) is data.Level.KIND:
+                yield path
+
+
 def get_service_path(service: str) -> str:
     """Gets the path of a service."""
     return f"service/{service}"
--- a/packages/catkintiller/src/catkintiller/tree.py
+++ b/packages/catkintiller/src/catkintiller/tree.py
@@ -155,8 +155,9 @@
     values: dict[str, dict[str, data.Value]],
 ) -> dict[tuple[str, str], list[tuple[str, str]]]:
     matches: dict[tuple[str, str], list[tuple[str, str]]] = {}
-    for path, settings in values.items():
-        if paths.get_level(path) is not data.Level.KIND or "match" not in settings:
+    for path in paths.iter_kinds(values):
+        settings = values[path]
+        if "match" not in settings:
             continue
         _, service, _, kind = path.split("/")
         method, _, prefix = settings["match"].text.partition(" ")
--- a/packages/catkintiller/src/catkintiller/validate.py
+++ b/packages/catkintiller/src/catkintiller/validate.py
@@ -54,12 +54,20 @@
     return None
 
 
-def validate_values(values: dict[str, dict[str, data.Value]]) -> list[data.Problem]:
-    """Checks what only the whole tree shows: each kind of request needs a match."""
+def validate_values(
+    values: dict[str, dict[str, data.Value]], services: set[str]
+) -> list[data.Problem]:
+    """Checks what only the whole of a service shows.
+
+    Each kind of request needs a match, and no two kinds may have the same one.
+
+    :param services: names of the services to check.
+    """
     problems = []
     matches: dict[tuple[str, str], str] = {}
-    for path, settings in sorted(values.items()):
-        if paths.get_level(path) is not data.Level.KIND or not settings:
+    for path in sorted(paths.iter_kinds(values, services)):
+        settings = values[path]
+        if not settings:
             continue
         source = data.Source("tree", path, 0)
         match = settings.get("match")
@@ -73,7 +81,7 @@
                 )
             )
             continue
-        service = path.split("/")[1]
+        service = paths.get_service(path)
         other = matches.setdefault((service, match.text), path)
         if other != path:
             problems.append(
