Let a silent endpoint come back, bound stored answers, claim on demand

Cause: reading the serving side anew. (1) A node whose endpoint was silent for 5 s refused for ever when the endpoint came back on the same address. (2) A claimed key that had not run could not be handed over by a leaving node. (3) Stored answers were not bounded in bytes: 15 a second of 256 KiB for 20 minutes pass the 128 MB by far. (4) Every node kept a long poll on its service's claims, 2,500 reads a second of the log at 25,000 nodes, used or not. Change: announcements bring an endpoint back unless an operator drained it; successors take claimed keys; 16 MiB of answers, the oldest dropped, keys kept; claims are read while they are used; shedding off means order of arrival; calls that have cost work up the chain wait four times as long, as bound ones do. Ruled out: dropping keys with their answers (they could run again).

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES = catkintiller catkintiller-node catkintiller-operator catkintiller-standins
 SEED ?= 1
 
-.PHONY: setup demo test lint format docs faults bench latency capacity clean
+.PHONY: setup demo test lint format docs faults bench keys latency capacity clean
 
 setup: .venv/ready
 
@@ -37,6 +37,9 @@
 bench: setup
 	$(BIN)/python -m catkintiller_standins.bench --seed $(SEED)
 
+keys: setup
+	$(BIN)/python -m catkintiller_standins.keys_bench
+
 latency: setup
 	$(BIN)/python -m catkintiller_standins.latency
 
--- a/packages/catkintiller-node/src/catkintiller_node/control_commands.py
+++ b/packages/catkintiller-node/src/catkintiller_node/control_commands.py
@@ -37,16 +37,14 @@
     info = endpoint.EndpointInfo(
         found["service"], found["name"], found["address"], found.get("slots", 0)
     )
-    own.take_announcement(info)
-    if found.get("leaving"):
-        own.leave()
+    own.take_announcement(info, found.get("leaving", False))
     document = {"incarnation": own.members.me.incarnation, "in_flight": own.in_flight}
     return web.json_response(document)
 
 
 async def drain(own: node.Node, request: web.BaseRequest) -> web.Response:
     """Ends new work for the endpoint; running calls go on."""
-    own.leave()
+    own.drain()
     return web.json_response({"leaving": True, "in_flight": own.in_flight})
 
 
--- a/packages/catkintiller-node/src/catkintiller_node/keyed.py
+++ b/packages/catkintiller-node/src/catkintiller_node/keyed.py
@@ -25,6 +25,7 @@
 CLAIM_BATCH_S = 0.005
 MAX_BATCH = 256
 FOLLOW_WAIT_MS = 10_000
+FOLLOW_IDLE_S = 60.0
 
 _claims_decoder = msgspec.msgpack.Decoder(tuple[data.Claim, ...])
 
@@ -40,6 +41,10 @@
 class ClaimStream:
     """Claims plain keys of one service on the log, several in one record.
 
+    The stream is read only while keys are claimed here, so nodes without plain
+    keys cost the log nothing. A claim is decided only after everything up to it
+    was read, so a late reader decides as everyone else.
+
     :param log: client of the log service.
     :param service: service whose keys are claimed.
     """
@@ -53,6 +58,8 @@
         self._read = asyncio.Condition()
         self._rng = random.Random()
         self._appends = 0
+        self._wanted = asyncio.Event()
+        self._used = 0.0
 
     @property
     def table(self) -> keys.ClaimTable:
@@ -70,6 +77,8 @@
         :returns: the winning claim.
         :raises errors.LogUnavailable: if it does not become known in time.
         """
+        self._used = time.monotonic()
+        self._wanted.set()
         try:
             async with asyncio.timeout(CLAIM_TIMEOUT_S):
                 return await self._claim_and_read(claim)
@@ -94,6 +103,9 @@
         """Reads the stream for as long as the node runs."""
         attempt = 0
         while True:
+            if time.monotonic() - self._used > FOLLOW_IDLE_S:
+                self._wanted.clear()
+            await self._wanted.wait()
             start = self._table.offset + 1
             try:
                 result = await self._log.read(self._stream, start, FOLLOW_WAIT_MS)
@@ -227,10 +239,12 @@
         if self._claims is None or not self._serving.accepting:
             raise _refuse(data.Reason.LEAVING, data.Ran.UNKNOWN)
         winner = self._claims.table.find_winner(request.key)
-        if winner:
+        handed = winner is not None and request.handed_by == winner.incarnation
+        if winner and not handed:
             self._refuse_lost_claim(winner, digest)
         entry = self._keys.add(now, request.key, digest, retention_s)
-        entry.state = keys.KeyState.UNCLAIMED
+        if not handed:
+            entry.state = keys.KeyState.UNCLAIMED
         return entry
 
     def _hand_over(self, entry: keys.KeyEntry) -> None:
@@ -283,7 +297,7 @@
                 request, body, OUTCOME_PATIENCE_S, bound=True
             )
             state = keys.KeyState.FINISHED
-            entry.answer = keys.StoredAnswer(*served.answer)
+            self._keys.store(entry, keys.StoredAnswer(*served.answer))
             return served
         except errors.CallRefused as error:
             entry.failure = error
@@ -316,6 +330,8 @@
 
 def _get_stored(entry: keys.KeyEntry, request: data.CallRequest) -> serving.Served:
     """Gets the outcome of a run that another request started."""
+    if entry.state is keys.KeyState.FINISHED and entry.answer is None:
+        raise _refuse(data.Reason.KEY_ANSWER_DROPPED, data.Ran.YES)
     if entry.state is keys.KeyState.FINISHED:
         answer = endpoint.EndpointAnswer(*entry.answer)
         return serving.Served(answer, request.context.retries, 0.0, 0.0)
--- a/packages/catkintiller-node/src/catkintiller_node/node.py
+++ b/packages/catkintiller-node/src/catkintiller_node/node.py
@@ -74,6 +74,7 @@
         self._announced_at: float | None = None
         self._tasks: list[asyncio.Task] = []
         self._stopping = False
+        self._drained = False
         self._tree: tree.Tree | None = None
 
     @property
@@ -105,7 +106,7 @@
         if self._stopping:
             return
         self._stopping = True
-        self.leave()
+        self.drain()
         self._front.close_connections()
         began = time.monotonic()
         while time.monotonic() - began < STOP_PATIENCE_S:
@@ -123,20 +124,29 @@
         await self._http.close()
         self.mesh.stop()
 
-    def take_announcement(self, info: endpoint.EndpointInfo) -> None:
-        """Takes what the endpoint says of itself."""
+    def take_announcement(self, info: endpoint.EndpointInfo, leaving: bool) -> None:
+        """Takes what the endpoint says of itself.
+
+        An endpoint that was silent, or that left and was started again, comes
+        back with its next announcement; one that an operator drained does not.
+        """
         self._announced_at = time.monotonic()
-        if self.serving.info == info and self.members.me.accepting:
-            return
-        self.serving.set_endpoint(info)
-        self.keyed.set_service(info.service)
-        self._apply_retention()
-        if self._stopping:
+        if self.serving.info != info:
+            self.serving.set_endpoint(info)
+            self.keyed.set_service(info.service)
+            self._apply_retention()
+        if leaving:
             self.serving.leave()
+        elif not self._drained:
+            self.serving.come_back()
         self._publish_endpoint()
 
-    def leave(self) -> None:
-        """Ends new work for the endpoint and tells the other nodes."""
+    def drain(self) -> None:
+        """Ends new work for the endpoint for good and tells the other nodes."""
+        self._drained = True
+        self._leave()
+
+    def _leave(self) -> None:
         self.serving.leave()
         self._publish_endpoint()
 
@@ -239,7 +249,7 @@
         )
         if silent and not self.serving.leaving:
             logger.warning("node: the endpoint is silent")
-            self.leave()
+            self._leave()
         self._publish_endpoint()
         self._send_all(self.members.tick(now, self.sync.state.offset))
         self._note_transitions()
--- a/packages/catkintiller-node/src/catkintiller_node/problems.py
+++ b/packages/catkintiller-node/src/catkintiller_node/problems.py
@@ -19,6 +19,7 @@
     data.Reason.KEY_INVALID: 400,
     data.Reason.KEY_REUSED: 422,
     data.Reason.KEY_OUTCOME_LOST: 409,
+    data.Reason.KEY_ANSWER_DROPPED: 409,
 }
 
 
--- a/packages/catkintiller-node/src/catkintiller_node/serving.py
+++ b/packages/catkintiller-node/src/catkintiller_node/serving.py
@@ -71,9 +71,7 @@
         return self._serving
 
     def set_endpoint(self, info: endpoint.EndpointInfo) -> None:
-        """Takes an announcement. A new address is a new endpoint process."""
-        if self._info is None or self._info.address != info.address:
-            self._leaving = False
+        """Takes what the endpoint announced of itself."""
         self._info = info
         self._configure()
 
@@ -86,6 +84,10 @@
         """Refuses new calls from now on; running ones go on."""
         self._leaving = True
 
+    def come_back(self) -> None:
+        """Takes new calls again."""
+        self._leaving = False
+
     def tick(self, now: float) -> None:
         """Lets admission expire waiters and lower its level."""
         self._admission.tick(now)
@@ -121,7 +123,8 @@
 
         :param patience_s: time that the endpoint gets beyond the deadline, for
             work whose outcome must become known.
-        :param bound: the call can run at no other endpoint.
+        :param bound: the call can run at no other endpoint, and so may wait longer;
+            so may one that has cost work further up its chain.
         :raises errors.CallRefused: if there is no whole answer.
         """
         self.refuse_if_unable(request)
@@ -129,7 +132,8 @@
         deadline = arrived + request.context.deadline_ms / 1000
         self._serving += 1
         try:
-            await self._admit(request, deadline, bound)
+            patient = bound or request.context.depth > 0
+            await self._admit(request, deadline, patient)
             started = time.monotonic()
             queue_ms = (started - arrived) * 1000
             expires = deadline + patience_s
@@ -175,7 +179,7 @@
                 self._admission.release(now)
 
     async def _admit(
-        self, request: data.CallRequest, deadline: float, bound: bool
+        self, request: data.CallRequest, deadline: float, patient: bool
     ) -> None:
         loop = asyncio.get_running_loop()
         turn: asyncio.Future[data.Reason | None] = loop.create_future()
@@ -192,7 +196,7 @@
             self._log_verdict(request, admission.Verdict.REFUSE)
             raise self._refuse(request, data.Reason.CHAIN_OVERLOADED)
         verdict = self._admission.offer(
-            time.monotonic(), call_rank, deadline, wake, bound
+            time.monotonic(), call_rank, deadline, wake, patient
         )
         self._log_verdict(request, verdict)
         if verdict is admission.Verdict.RUN:
--- a/packages/catkintiller-standins/src/catkintiller_standins/at_most_once_test.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/at_most_once_test.py
@@ -133,6 +133,23 @@
             runs = [harness.count_runs(running, "pay", key=key) for key in keys]
             assert runs == [1] * len(keys)
 
+    @harness.run_async
+    async def test_claimed_key_that_never_ran_is_handed_over(self) -> None:
+        async with harness.deployed() as running:
+            for name in ("pay-1", "pay-2", "pay-3"):
+                await running.control_endpoint(name, refuse=1.0)
+            first = await harness.charge(running.nodes[0], "order-1")
+            assert (first.reason, first.ran) == ("endpoint-refused", "no")
+            owner = await find_claimer(running)
+            node = f"127.0.0.1:{owner.node_port}"
+            await running.control(f"http://{node}/-/drain")
+            for name in ("pay-1", "pay-2", "pay-3"):
+                await running.control_endpoint(name, refuse=0.0)
+            # Another node reads the claim, and learns of the successor there.
+            replies = [await harness.charge(n, "order-1") for n in running.nodes]
+            assert all(reply.is_whole for reply in replies), replies
+            assert harness.count_runs(running, "pay", key="order-1") == 1
+
     @harness.run_async
     async def test_log_outage_refuses_without_running(self) -> None:
         async with harness.deployed() as running:
@@ -155,6 +172,14 @@
             assert harness.count_runs(running, "pay", key="order-1") == 1
 
 
+async def find_claimer(running):
+    """Finds the VM whose node has claimed a key."""
+    for slot in running.slots:
+        if (await running.get_status(slot))["claim_appends"]:
+            return slot
+    raise AssertionError("nobody has claimed")
+
+
 async def slow_payments(running) -> None:
     """Makes charges take longer than it takes to kill a process."""
     for name in ("pay-1", "pay-2", "pay-3"):
--- a/packages/catkintiller-standins/src/catkintiller_standins/departure_test.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/departure_test.py
@@ -62,6 +62,22 @@
             assert time.monotonic() - began > 0.5
 
 
+class TestReturn:
+    """An endpoint that was away is used again."""
+
+    @harness.run_async
+    async def test_silent_endpoint_comes_back_on_its_address(self) -> None:
+        async with harness.deployed() as running:
+            slot = running.get_slot("shop-1")
+            await running.kill(f"endpoint {slot.name}")
+            await wait_accepting(running, slot, False)
+            await running.start_endpoint(slot)
+            await wait_accepting(running, slot, True)
+            node = f"127.0.0.1:{slot.node_port}"
+            replies = [await harness.call(node, "shop/look") for _ in range(10)]
+            assert all(reply.is_whole for reply in replies)
+
+
 class TestRollingReplacement:
     """Every VM is replaced under load and nothing is lost."""
 
@@ -91,3 +107,12 @@
     """Counts the executions at one endpoint."""
     lines = running.read_ledger()
     return sum(line["event"] == "start" and line["endpoint"] == name for line in lines)
+
+
+async def wait_accepting(running, slot, accepting: bool) -> None:
+    """Waits until a node takes new requests, or none."""
+
+    async def is_so() -> bool:
+        return (await running.get_status(slot))["accepting"] is accepting
+
+    await harness.deployment.wait_until(is_so, f"accepting is {accepting}")
--- a/packages/catkintiller/src/catkintiller/admission.py
+++ b/packages/catkintiller/src/catkintiller/admission.py
@@ -21,7 +21,7 @@
 RAISE_RANKS = 2
 LOWER_RANKS = 1
 RANK_MEMORY_S = 5.0
-BOUND_PATIENCE = 4
+PATIENCE = 4
 MAX_WAITING = 4096
 
 
@@ -49,7 +49,8 @@
     :param limiter: limit on working requests.
     :param slots: limit on running requests.
     :param queue_s: longest time that a request waits.
-    :param shedding: ``False`` to keep the admission level at the bottom.
+    :param shedding: ``False`` to treat all classes alike: no admission level, and
+        a queue in order of arrival.
     """
 
     def __init__(
@@ -115,12 +116,11 @@
         call_rank: int,
         deadline: float,
         wake: Callable[[data.Reason | None], None],
-        bound: bool = False,
+        patient: bool = False,
     ) -> Verdict:
         """Offers a request.
 
-        :param bound: the request can run at no other endpoint, so it may wait
-            ``BOUND_PATIENCE`` times as long.
+        :param patient: the request may wait ``PATIENCE`` times as long.
         :param wake: called once for a request that waits, with ``None`` when it
             may run and with the reason when it is refused.
         """
@@ -134,9 +134,9 @@
         if self._queue_s <= 0:
             return Verdict.REFUSE
         self._order += 1
-        patience_s = self._queue_s * (BOUND_PATIENCE if bound else 1)
+        patience_s = self._queue_s * (PATIENCE if patient else 1)
         expires = min(now + patience_s, deadline)
-        group = call_rank // rank.BUCKETS
+        group = call_rank // rank.BUCKETS if self._shedding else 0
         entry = Waiting(group, -self._order, now, expires, wake)
         bisect.insort(self._waiting, entry, key=lambda item: item[:2])
         if len(self._waiting) > MAX_WAITING:
--- a/packages/catkintiller/src/catkintiller/data.py
+++ b/packages/catkintiller/src/catkintiller/data.py
@@ -37,6 +37,7 @@
     KEY_INVALID = "key-invalid"
     KEY_REUSED = "key-reused"
     KEY_OUTCOME_LOST = "key-outcome-lost"
+    KEY_ANSWER_DROPPED = "key-answer-dropped"
     LOG_UNAVAILABLE = "log-unavailable"
     CALL_CANCELLED = "call-cancelled"
 
--- a/packages/catkintiller/src/catkintiller/keys.py
+++ b/packages/catkintiller/src/catkintiller/keys.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import collections
 import enum
 import hashlib
 import secrets
@@ -18,6 +19,7 @@
 TICKET_PREFIX = "t1"
 SWEEPS_PER_RETENTION = 8
 MAX_KEY_LENGTH = 200
+MAX_STORED_BYTES = 16 * 1024 * 1024
 
 
 class Ticket(NamedTuple):
@@ -111,6 +113,8 @@
         self._started = started
         self._entries: dict[str, KeyEntry] = {}
         self._swept = started
+        self._stored: collections.deque[KeyEntry] = collections.deque()
+        self._stored_bytes = 0
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -145,6 +149,20 @@
         entry = self._entries[key] = KeyEntry(digest, kept_until)
         return entry
 
+    def store(self, entry: KeyEntry, answer: StoredAnswer) -> None:
+        """Keeps the answer of a finished key.
+
+        The oldest answers are dropped when all together are too large; their
+        keys stay, so they still never run again.
+        """
+        entry.answer = answer
+        self._stored.append(entry)
+        self._stored_bytes += len(answer.body)
+        while self._stored_bytes > MAX_STORED_BYTES:
+            oldest = self._stored.popleft()
+            self._stored_bytes -= len(oldest.answer.body)
+            oldest.answer = None
+
     def remove(self, key: str) -> None:
         """Removes the entry of a key that another incarnation may run."""
         self._entries.pop(key, None)
@@ -154,6 +172,8 @@
         if now - self._swept < retention_s / SWEEPS_PER_RETENTION:
             return
         self._swept = now
+        while self._stored and self._stored[0].kept_until <= now:
+            self._stored_bytes -= len(self._stored.popleft().answer.body)
         self._entries = {
             key: entry
             for key, entry in self._entries.items()
--- a/packages/catkintiller/src/catkintiller/options.py
+++ b/packages/catkintiller/src/catkintiller/options.py
@@ -185,8 +185,9 @@
             "chain",
             "endpoint",
             (data.Level.ROOT, data.Level.SERVICE),
-            "Where requests are shed: at the top of the chain as well, at the "
-            "endpoint's node only, or nowhere.",
+            "Where less important requests are shed first: at the top of the chain "
+            "as well, at the endpoint's node only, or nowhere. With off, all "
+            "classes are treated alike.",
             choices=("chain", "endpoint", "off"),
         ),
         Setting(
--- a/packages/catkintiller/src/catkintiller/policy_test.py
+++ b/packages/catkintiller/src/catkintiller/policy_test.py
@@ -70,6 +70,15 @@
             if table.is_current(now, keys.parse_ticket(key)):
                 assert table.get(key) is not None
 
+    def test_oldest_answers_are_dropped_but_their_keys_stay(self) -> None:
+        table = keys.KeyTable("me", 0.0)
+        half = keys.StoredAnswer(200, (), b"x" * (keys.MAX_STORED_BYTES // 2))
+        entries = [table.add(0.0, str(i), b"", 60.0) for i in range(3)]
+        for entry in entries:
+            table.store(entry, half)
+        assert [entry.answer for entry in entries] == [None, half, half]
+        assert table.get("0") is entries[0]
+
     def test_ticket_of_another_incarnation(self) -> None:
         key = keys.format_ticket("other", 10_000)
         table = keys.KeyTable("me", 0.0)
