Undo a lower limit that does not help; say not run only if no attempt may have

Ruled out: more patience for the queue (the queue was empty at times). Change: after four windows of a lower limit without shorter times the limit is restored and the times become usual; usual times rise only while calm; favour = goodput raises the level only when a wait ends in a refusal; the refusals of all attempts decide what ran.

--- a/packages/catkintiller-node/src/catkintiller_node/calls.py
+++ b/packages/catkintiller-node/src/catkintiller_node/calls.py
@@ -90,6 +90,26 @@
         :param held: the retries that this call may spend or pass on.
         :raises errors.CallRefused: if there is no whole answer.
         """
+        attempts: list[data.Refusal] = []
+        try:
+            return await self._try_members(arrival, settings, held, attempts)
+        except errors.CallRefused as error:
+            ran = [error.refusal.ran, *(refusal.ran for refusal in attempts)]
+            if all(one is data.Ran.NO for one in ran):
+                raise
+            # The last attempt did not run, but an earlier one may have.
+            known = error.refusal.ran
+            told = data.Ran.UNKNOWN if known is data.Ran.NO else known
+            raise errors.CallRefused(error.refusal._replace(ran=told)) from error
+
+    async def _try_members(
+        self,
+        arrival: Arrival,
+        settings: tree.Tree,
+        held: budget.ChainBudget,
+        attempts: list[data.Refusal],
+    ) -> remote.Result:
+        """Tries nodes until one answers; ``attempts`` collects their refusals."""
         tried: set[str] = set()
         redirects = 0
         named = handed_by = ""
@@ -100,8 +120,11 @@
             if refusal is None:
                 self._get_ratio(arrival).record_success(arrival.kind.retry_ratio)
                 return result
+            attempts.append(refusal)
             tried.add(member.incarnation)
             if result.answer.winner and redirects < MAX_REDIRECTS:
+                # The key's owner is elsewhere, so this attempt tells nothing.
+                attempts.pop()
                 redirects += 1
                 named = result.answer.winner
                 handed_by = result.answer.source
--- a/packages/catkintiller-node/src/catkintiller_node/serving.py
+++ b/packages/catkintiller-node/src/catkintiller_node/serving.py
@@ -253,4 +253,6 @@
         self._shed_chain = found.shedding == "chain"
         if found.concurrency == "off":
             slots = limits.UNLIMITED
-        self._admission.configure(limiter, slots, found.queue_time / 1000, shed)
+        early = found.favour == "recovery"
+        queue_s = found.queue_time / 1000
+        self._admission.configure(limiter, slots, queue_s, shed, early)
--- a/packages/catkintiller/src/catkintiller/admission.py
+++ b/packages/catkintiller/src/catkintiller/admission.py
@@ -51,6 +51,8 @@
     :param queue_s: longest time that a request waits.
     :param shedding: ``False`` to treat all classes alike: no admission level, and
         a queue in order of arrival.
+    :param early: raise the level once requests wait half their time, which ends
+        a stall sooner but leaves slots empty at times.
     """
 
     def __init__(
@@ -59,11 +61,13 @@
         slots: int,
         queue_s: float,
         shedding: bool = True,
+        early: bool = False,
     ) -> None:
         self._limiter = limiter
         self._slots = slots
         self._queue_s = queue_s
         self._shedding = shedding
+        self._early = early
         self._waiting: list[Waiting] = []
         self._order = 0
         self._in_flight = 0
@@ -100,9 +104,15 @@
         return self._latency_s
 
     def configure(
-        self, limiter: limits.Limiter, slots: int, queue_s: float, shed: bool
+        self,
+        limiter: limits.Limiter,
+        slots: int,
+        queue_s: float,
+        shed: bool,
+        early: bool,
     ) -> None:
         """Takes changed settings into use; what runs or waits stays."""
+        self._early = early
         self._limiter = limiter
         self._slots = slots
         self._queue_s = queue_s
@@ -203,7 +213,9 @@
 
     def _adjust_level(self, now: float) -> None:
         half = self._queue_s / 2
-        slow = any(now - entry.arrived > half for entry in self._waiting)
+        slow = self._early and any(
+            now - entry.arrived > half for entry in self._waiting
+        )
         windows = min(100, int((now - self._window_started) / LEVEL_WINDOW_S))
         if self._shedding and (self._overdue or slow):
             self._raise_level(now)
--- a/packages/catkintiller/src/catkintiller/limits.py
+++ b/packages/catkintiller/src/catkintiller/limits.py
@@ -14,9 +14,10 @@
 CALM_SHARE = 0.5
 FALL_WEIGHT = 0.05
 CALM_RISE_WEIGHT = 0.01
-BUSY_RISE_WEIGHT = 0.0005
 TOLERANCE = {"goodput": 2.0, "recovery": 1.5}
 DECREASE = 0.85
+TRIAL_WINDOWS = 4
+TRIAL_GAIN = 0.8
 
 
 class Limiter(abc.ABC):
@@ -59,7 +60,9 @@
     """Raises the limit while work takes its usual time, else lowers it.
 
     The usual time of each kind of request is learned: it follows shorter times
-    at once, and longer ones slowly, more so while the endpoint is busy.
+    at once, and longer ones slowly and only while the endpoint is calm. If some
+    windows of a lower limit did not shorten the times, the cause is not the load:
+    the limit is restored and the longer times become the usual ones.
 
     :param slots: the largest limit.
     :param favour: ``goodput`` or ``recovery``; sets how far times may rise.
@@ -75,6 +78,9 @@
         self._samples = 0
         self._failures = 0
         self._peak = 0
+        self._slow_windows = 0
+        self._limit_before = self._limit
+        self._ratio_before = 1.0
 
     @property
     def limit(self) -> int:
@@ -106,19 +112,37 @@
         elif working <= self._limit * CALM_SHARE:
             weight = CALM_RISE_WEIGHT
         else:
-            weight = BUSY_RISE_WEIGHT
+            weight = 0.0
         usual_s += weight * (work_s - usual_s)
         self._usual_s[kind] = usual_s
         return usual_s
 
     def _adjust(self) -> None:
+        ratio = self._total_ratio / self._samples
         failing = self._failures * 2 > self._samples
-        slow = self._total_ratio / self._samples > self._tolerance
-        if failing or slow:
+        if ratio > self._tolerance and not failing:
+            self._try_lower(ratio)
+            return
+        self._slow_windows = 0
+        if failing:
             self._limit = max(MIN_LIMIT, self._limit * DECREASE)
         elif self._peak >= self._limit * BUSY_SHARE:
             self._limit = min(self._slots, self._limit + max(1, self._limit**0.5))
 
+    def _try_lower(self, ratio: float) -> None:
+        """Lowers the limit, or undoes that if it did not help."""
+        if self._slow_windows == 0:
+            self._limit_before = self._limit
+            self._ratio_before = ratio
+        self._slow_windows += 1
+        if self._slow_windows <= TRIAL_WINDOWS:
+            self._limit = max(MIN_LIMIT, self._limit * DECREASE)
+            return
+        if ratio > self._ratio_before * TRIAL_GAIN:
+            self._limit = self._limit_before
+            self._usual_s = {k: usual * ratio for k, usual in self._usual_s.items()}
+        self._slow_windows = 0
+
 
 def make_limiter(concurrency: str, slots: int, favour: str) -> Limiter:
     """Makes the limiter that the setting ``concurrency`` names."""
