--- a/packages/catkintiller-standins/src/catkintiller_standins/demo.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/demo.py
@@ -21,6 +21,14 @@
 )
 
 
+async def show_progress(name: str) -> None:
+    """Tells which stage of the load begins."""
+    for stage in STAGES:
+        rate = f"{stage.factor:g} times the usual rate"
+        print(f"{name}: {stage.name}, {rate}, {stage.seconds:g} s", flush=True)
+        await asyncio.sleep(stage.seconds)
+
+
 async def run_deployment(name: str, seed: int, folder: str) -> list[ledger.Broken]:
     """Runs one deployment and prints its table."""
     form = shape.load_shape(f"examples/{name}/standins.ini")
@@ -29,9 +37,9 @@
     print(f"{name}: starting {len(running.slots)} endpoints, a node beside each")
     try:
         await running.start()
-        seconds = sum(stage.seconds for stage in STAGES)
-        print(f"{name}: steady load, a surge, steady load again: {seconds:g} s")
+        progress = asyncio.ensure_future(show_progress(name))
         results = await running.run_load(STAGES)
+        await progress
         status = await running.get_status(running.slots[0])
         lines = running.read_ledger()
     finally:
--- a/packages/catkintiller/src/catkintiller/admission.py
+++ b/packages/catkintiller/src/catkintiller/admission.py
@@ -22,6 +22,7 @@
 LOWER_RANKS = 1
 RANK_MEMORY_S = 5.0
 PATIENCE = 4
+IMPORTANT_SHARE = 0.5
 MAX_WAITING = 4096
 
 
@@ -130,7 +131,8 @@
     ) -> Verdict:
         """Offers a request.
 
-        :param patient: the request may wait ``PATIENCE`` times as long.
+        :param patient: the request may wait ``PATIENCE`` times as long, and if it
+            is of the most important class, half of the time that it has left.
         :param wake: called once for a request that waits, with ``None`` when it
             may run and with the reason when it is refused.
         """
@@ -144,8 +146,9 @@
         if self._queue_s <= 0:
             return Verdict.REFUSE
         self._order += 1
-        patience_s = self._queue_s * (PATIENCE if patient else 1)
-        expires = min(now + patience_s, deadline)
+        expires = min(
+            now + self._get_patience(now, call_rank, deadline, patient), deadline
+        )
         group = call_rank // rank.BUCKETS if self._shedding else 0
         entry = Waiting(group, -self._order, now, expires, wake)
         bisect.insort(self._waiting, entry, key=lambda item: item[:2])
@@ -153,6 +156,23 @@
             self._waiting.pop(0).wake(data.Reason.OVERLOADED)
         return Verdict.WAIT
 
+    def _get_patience(
+        self, now: float, call_rank: int, deadline: float, patient: bool
+    ) -> float:
+        """Gets how long a request may wait, in seconds."""
+        if not patient:
+            return self._queue_s
+        patience_s = self._queue_s * PATIENCE
+        if self._shedding and call_rank >= self._get_ceiling():
+            # Giving up the most important work wastes all that it has cost.
+            patience_s = max(patience_s, (deadline - now) * IMPORTANT_SHARE)
+        return patience_s
+
+    def _get_ceiling(self) -> int:
+        """Gets the lowest rank of the most important class lately seen."""
+        highest = max(self._seen, default=rank.LOWEST)
+        return highest // rank.CLASS_WIDTH * rank.CLASS_WIDTH
+
     def withdraw(self, wake: Callable[[data.Reason | None], None]) -> bool:
         """Takes a waiting request back.
 
@@ -232,10 +252,9 @@
             return
         # The most important class that there is is not shed by level; its
         # requests compete in the queue.
-        ceiling = max(self._seen) // rank.CLASS_WIDTH * rank.CLASS_WIDTH
         higher = sorted(r for r in self._seen if r >= self._level)
         wanted = higher[min(RAISE_RANKS, len(higher) - 1)] if higher else self._level
-        self._level = min(ceiling, wanted)
+        self._level = min(self._get_ceiling(), wanted)
 
     def _lower_level(self, steps: int) -> None:
         """Moves the level down by ranks that requests had lately."""
