--- a/packages/catkintiller-node/src/catkintiller_node/mesh.py
+++ b/packages/catkintiller-node/src/catkintiller_node/mesh.py
@@ -19,7 +19,7 @@
 logger = logging.getLogger("catkintiller.mesh")
 
 CONNECT_PATIENCE_S = 0.25
-FLUSH_EVERY_S = 0.05
+FLUSH_EVERY_S = 0.1
 HIGH_WATER_MARK = 4096
 IDLE_S = 60.0
 HEARTBEAT_MS = 1000
--- a/packages/catkintiller-node/src/catkintiller_node/node.py
+++ b/packages/catkintiller-node/src/catkintiller_node/node.py
@@ -38,7 +38,8 @@
 
 logger = logging.getLogger("catkintiller.node")
 
-TICK_S = 0.025
+TICK_S = 0.05
+BUSY_TICK_S = 0.02
 ANNOUNCE_TTL_S = 5.0
 STOP_PATIENCE_S = 50.0
 BACKLOG = 1024
@@ -113,7 +114,7 @@
             settled = time.monotonic() - began >= self._config.settle_s
             if settled and not self.in_flight:
                 break
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(BUSY_TICK_S)
         logger.info("node: stopped", extra={"in_flight": self.in_flight})
         self.members.update_me(state=data.MemberState.LEFT)
         self._send_all(self.members.announce(self.sync.state.offset))
@@ -240,7 +241,8 @@
                 self._tick(time.monotonic())
             except Exception:
                 logger.exception("node: tick failed")
-            await asyncio.sleep(TICK_S)
+            # Only waiting calls need a close watch on their time.
+            await asyncio.sleep(BUSY_TICK_S if self.serving.waiting else TICK_S)
 
     def _tick(self, now: float) -> None:
         self.serving.tick(now)
--- a/packages/catkintiller-node/src/catkintiller_node/serving.py
+++ b/packages/catkintiller-node/src/catkintiller_node/serving.py
@@ -70,6 +70,11 @@
         """Calls that wait for the endpoint or run there."""
         return self._serving
 
+    @property
+    def waiting(self) -> int:
+        """Calls that wait for their turn."""
+        return self._admission.waiting
+
     def set_endpoint(self, info: endpoint.EndpointInfo) -> None:
         """Takes what the endpoint announced of itself."""
         self._info = info
--- a/packages/catkintiller-standins/src/catkintiller_standins/capacity.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/capacity.py
@@ -264,14 +264,10 @@
     try:
         await running.start()
         await asyncio.sleep(1.0)
-        before = [
-            read_process(running.get_pid(f"node {s.name}"))[0] for s in running.slots
-        ]
+        before = read_node_cpu(running)
         stages = (deployment.load.Stage("steady", 8.0, factor),)
         results = await running.run_load(stages)
-        after = [
-            read_process(running.get_pid(f"node {s.name}"))[0] for s in running.slots
-        ]
+        after = read_node_cpu(running)
         runs = sum(line["event"] == "start" for line in running.read_ledger())
     finally:
         await running.stop()
