Let a successor take a claimed key whose claim it has not read

A successor that reads claims only on demand did not know the winner that handed the key to it and sent the call back. A ticket draw waited up to 1 s for a dead node, longer than a leaving node stays. Change: after reading its claim a node accepts the key from the winner itself; a draw waits 0.3 s.

--- a/packages/catkintiller-node/src/catkintiller_node/keyed.py
+++ b/packages/catkintiller-node/src/catkintiller_node/keyed.py
@@ -319,7 +319,8 @@
         except errors.LogUnavailable as error:
             # Another node may have claimed and run the key unseen.
             raise _refuse(data.Reason.LOG_UNAVAILABLE, data.Ran.UNKNOWN) from error
-        if winner.incarnation != self._incarnation:
+        # The winner itself may have handed the key to this node.
+        if winner.incarnation not in (self._incarnation, request.handed_by):
             self._refuse_lost_claim(winner, entry.digest)
 
     def _sweep(self, now: float, retention_s: float) -> None:
--- a/packages/catkintiller-node/src/catkintiller_node/tickets.py
+++ b/packages/catkintiller-node/src/catkintiller_node/tickets.py
@@ -11,7 +11,7 @@
 
 MAX_TICKETS = 100
 MAX_SPREAD = 4
-TIMEOUT_S = 1.0
+TIMEOUT_S = 0.3
 
 
 class TicketDesk:
