Serve the platform's VMs: a thin whole path through one node beside each endpoint

Cause: nothing spoke the platform's words. A new package holds the path of requests (arrival, route, placement, queue beside the endpoint, connections); platform/ only translates.

--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/__init__.py
@@ -0,0 +1,1 @@
+"""The node of catkintiller on VMs whose platform keeps a store."""
--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""How requests of callers come in and how answers go back."""
--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
@@ -0,0 +1,319 @@
+"""HTTP/1.1 server side: whole requests in, whole answers out."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+from typing import Any
+
+import httptools
+
+from .. import data
+
+MAX_PIPELINED = 4
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    501: b"Not Implemented",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_EXPECT = b"expect"
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class Request:
+    """A whole request of a client.
+
+    :ivar target: path and query as the client sent them.
+    :ivar headers: names in lower case, values as sent.
+    :ivar arrived: loop time at which its head was complete.
+    """
+
+    __slots__ = ("arrived", "body", "headers", "keep_alive", "method", "target")
+
+    def __init__(self, method: bytes, target: bytes, headers: Headers) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = b""
+        self.keep_alive = True
+        self.arrived = 0.0
+
+    def get_header(self, name: bytes) -> bytes | None:
+        """Gets the value of a header by its name in lower case."""
+        for found, value in self.headers:
+            if found == name:
+                return value
+        return None
+
+
+Handler = Callable[["ServerConnection", Request], None]
+
+
+class ServerConnection(asyncio.Protocol):
+    """One connection of a client; its requests are answered in order.
+
+    :param server: what the connections of one address share.
+    """
+
+    def __init__(self, server: "HttpServer") -> None:
+        self._server = server
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._queue: collections.deque[Request] = collections.deque()
+        self._busy: Request | None = None
+        self._closing = False
+        self._url = b""
+        self._headers: Headers = []
+        self._size = 0
+        self._body: list[bytes] = []
+        self._building: Request | None = None
+        self._receiving = False
+        self._paused = False
+        self.began = 0.0
+        self.idle_since = 0.0
+        self.pending: Any = None
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request waits for its answer."""
+        return self._busy is not None
+
+    @property
+    def receiving(self) -> bool:
+        """Whether a request has come in part."""
+        return self._receiving
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Takes up the connection."""
+        self._transport = transport
+        self.idle_since = self._server.loop.time()
+        self._server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancels the request that waits."""
+        self._server.connections.discard(self)
+        self._transport = None
+        self._closing = True
+        self._queue.clear()
+        pending, self.pending = self.pending, None
+        if pending is not None:
+            pending.cancel()
+
+    def data_received(self, received: bytes) -> None:
+        """Parses what came."""
+        if self._closing:
+            return
+        if not self._receiving:
+            self._receiving = True
+            self.began = self._server.loop.time()
+        if self._building is None:
+            self._size += len(received)
+            if self._size > self._server.limits.max_header_bytes + 65536:
+                self.fail(431)
+                return
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserUpgrade:
+            self.fail(400)
+        except httptools.HttpParserError:
+            self.fail(400)
+
+    def on_message_begin(self) -> None:
+        """Starts a request."""
+        self._url = b""
+        self._headers = []
+        self._body = []
+        self._size = 0
+        self._receiving = True
+
+    def on_url(self, url: bytes) -> None:
+        """Collects the target."""
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collects a header."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Checks the head."""
+        parser = self._parser
+        request = Request(parser.get_method(), self._url, self._headers)
+        request.arrived = self._server.loop.time()
+        request.keep_alive = parser.should_keep_alive()
+        self._building = request
+        size = sum(len(name) + len(value) + 4 for name, value in self._headers)
+        if size + len(self._url) > self._server.limits.max_header_bytes:
+            self.fail(431)
+            return
+        if not is_framing_sound(self._headers):
+            self.fail(400)
+            return
+        length = request.get_header(b"content-length")
+        if length and int(length) > self._server.limits.max_body_bytes:
+            self.fail(413)
+            return
+        self._size = 0
+        if request.get_header(_EXPECT) is not None and not self._busy:
+            self._transport.write(CONTINUE)
+
+    def on_body(self, chunk: bytes) -> None:
+        """Collects the body."""
+        self._size += len(chunk)
+        if self._size > self._server.limits.max_body_bytes:
+            self.fail(413)
+            return
+        self._body.append(chunk)
+
+    def on_message_complete(self) -> None:
+        """Hands a whole request over."""
+        request, self._building = self._building, None
+        self._receiving = False
+        self._size = 0
+        if request is None or self._closing:
+            return
+        if self._body:
+            request.body = b"".join(self._body)
+            self._body = []
+        if self._busy is not None:
+            self._queue.append(request)
+            if len(self._queue) >= MAX_PIPELINED and not self._paused:
+                self._paused = True
+                self._transport.pause_reading()
+            return
+        self._start(request)
+
+    def reply(self, head: bytes, body: bytes, *, close: bool = False) -> None:
+        """Sends the answer of the request that waits.
+
+        :param head: status line and headers, without the empty line.
+        """
+        request, self._busy = self._busy, None
+        self.pending = None
+        if self._transport is None or request is None:
+            return
+        last = close or not request.keep_alive or self._server.closing
+        end = b"Connection: close\r\n\r\n" if last else b"\r\n"
+        self._transport.write(b"".join((head, end, body)))
+        self.idle_since = self._server.loop.time()
+        if last:
+            self._closing = True
+            self._transport.close()
+            return
+        if self._queue:
+            self._start(self._queue.popleft())
+        if self._paused and len(self._queue) < MAX_PIPELINED:
+            self._paused = False
+            self._transport.resume_reading()
+
+    def reply_status(
+        self, status: int, extra: bytes = b"", body: bytes = b"", *, close: bool = False
+    ) -> None:
+        """Sends an answer of the node's own."""
+        self.reply(make_head(status, len(body), extra), body, close=close)
+
+    def fail(self, status: int) -> None:
+        """Answers what is no proper request, and ends the connection."""
+        if self._closing:
+            return
+        self._closing = True
+        pending, self.pending = self.pending, None
+        self._server.note_bad(status)
+        if self._busy is not None:
+            # The answer that comes next on this connection is due to another.
+            if pending is not None:
+                pending.cancel()
+            self._transport.abort()
+            return
+        head = make_head(status, 0, b"Connection: close\r\n")
+        self._transport.write(head + b"\r\n")
+        self._transport.close()
+
+    def close_idle(self) -> None:
+        """Ends the connection if nothing waits for an answer."""
+        if self._busy is None and self._transport is not None:
+            self._closing = True
+            self._transport.close()
+
+    def _start(self, request: Request) -> None:
+        self._busy = request
+        self._server.handler(self, request)
+
+
+class HttpServer:
+    """An address where requests come in.
+
+    :param handler: is called with each whole request.
+    :param note_bad: is called with the status of each refused message.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        handler: Handler,
+        limits: data.ClientLimits,
+        note_bad: Callable[[int], None],
+    ) -> None:
+        self.loop = loop
+        self.handler = handler
+        self.limits = limits
+        self.note_bad = note_bad
+        self.connections: set[ServerConnection] = set()
+        self.closing = False
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, address: str, backlog: int = 1024) -> None:
+        """Starts to listen."""
+        host, _, port = address.rpartition(":")
+        self._server = await self.loop.create_server(
+            lambda: ServerConnection(self), host, int(port), backlog=backlog
+        )
+
+    def sweep(self, now: float) -> None:
+        """Ends connections that are idle or slow for too long."""
+        idle_s = self.limits.idle_timeout_s
+        header_s = self.limits.header_timeout_s
+        for connection in list(self.connections):
+            if connection.busy:
+                continue
+            if connection.receiving:
+                if now - connection.began > header_s + idle_s:
+                    connection.fail(408)
+            elif now - connection.idle_since > idle_s:
+                connection.close_idle()
+
+    def stop_listening(self) -> None:
+        """Takes no new connections."""
+        if self._server is not None:
+            self._server.close()
+
+
+def make_head(status: int, length: int, extra: bytes = b"") -> bytes:
+    """Makes the head of an answer, without the empty line."""
+    reason = REASONS.get(status, b"Status")
+    return b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n%b" % (
+        status,
+        reason,
+        length,
+        extra,
+    )
+
+
+def is_framing_sound(headers: Headers) -> bool:
+    """Tells whether the end of a body is beyond doubt."""
+    lengths = [value for name, value in headers if name == b"content-length"]
+    codings = [value for name, value in headers if name == b"transfer-encoding"]
+    hosts = [value for name, value in headers if name == b"host"]
+    if len(hosts) != 1 or len(lengths) + len(codings) > 1:
+        return False
+    if lengths and not lengths[0].isdigit():
+        return False
+    return not codings or codings[0].strip().lower() == b"chunked"
--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/main.py
@@ -0,0 +1,39 @@
+"""Starts a node on a VM whose platform keeps a store."""
+
+import asyncio
+import gc
+import sys
+
+import uvloop
+from catkintiller_platform import adapter
+
+from . import data, node
+from .telemetry import events
+
+EXIT_BAD_SETTINGS = 2
+GC_THRESHOLD = 50_000
+
+
+def main() -> int:
+    """Runs the node until it is told to stop."""
+    platform = adapter.PlatformAdapter()
+    try:
+        settings = platform.load_settings()
+    except (OSError, KeyError, data.Undecodable) as error:
+        print(f"settings: {error}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD, 20, 50)
+    loop = uvloop.new_event_loop()
+    asyncio.set_event_loop(loop)
+    log = events.EventLog(settings.node)
+    try:
+        loop.run_until_complete(node.Node(platform, settings, loop, log).run())
+    finally:
+        log.flush()
+        loop.close()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/__init__.py
@@ -0,0 +1,1 @@
+"""How nodes find each other and talk to each other."""
--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -0,0 +1,411 @@
+"""One node: its parts, how it starts, follows the store, and stops."""
+
+import asyncio
+import random
+import secrets
+import signal
+from typing import NamedTuple
+
+import msgspec
+
+from . import data, edge
+from .ingress import http1
+from .membership import frames, links
+from .routing import chains, forwarding
+from .serving import exchange, local, presence
+from .telemetry import events, metrics
+
+TICK_S = 0.05
+STATE_EVERY_S = 0.25
+SWEEP_EVERY_S = 1.0
+EDGES_EVERY_S = 2.0
+CONFIG_WAIT_S = 20.0
+STORE_PAUSE_S = 0.2
+STORE_MAX_PAUSE_S = 1.0
+NODES_EVERY_S = 20.0
+NODES_SECOND_LOOK_S = 0.5
+STOP_SETTLE_S = 2.6
+STOP_MARGIN_S = 0.7
+PEER_CONFIG_DELAY_S = 0.3
+FORGET_PEER_S = 30.0
+
+DEFAULT_LIMITS = data.ClientLimits(16384, 64 * 1024 * 1024, 3.0, 15.0)
+
+
+class NodeEntry(NamedTuple):
+    """What a node keeps in the store about itself."""
+
+    address: str
+    zone: str
+    service: str
+    boot: str
+
+
+class Node(links.LinkObserver):
+    """The process beside one endpoint.
+
+    :param platform: decodes the platform's words.
+    :param settings: settings of the process.
+    """
+
+    def __init__(
+        self,
+        platform: edge.Platform,
+        settings: data.Settings,
+        loop: asyncio.AbstractEventLoop,
+        log: events.EventLog,
+    ) -> None:
+        self._platform = platform
+        self._settings = settings
+        self._loop = loop
+        self._log = log
+        self._rng = random.Random()
+        self._boot = secrets.token_hex(6)
+        self._config: data.Config | None = None
+        self._peers: dict[str, links.Peer] = {}
+        self._heard_edges: dict[tuple[str, str], int] = {}
+        self._listed = False
+        self._stopping = asyncio.Event()
+        self._stop_at = 0.0
+        self._tasks: list[asyncio.Task] = []
+        self._store_lost = False
+        self.metrics = metrics.Metrics()
+        self._store = platform.make_store(settings.store, loop)
+        self._presence = presence.Presence(settings.service, settings.heartbeat_s)
+        self._graph = chains.CallGraph()
+        headers = platform.headers
+        self._pool = exchange.EndpointPool(loop, settings.endpoint, headers)
+        self._local = local.LocalServer(
+            loop, self._presence, self._pool, self._graph, self.metrics
+        )
+        self._forwarder = forwarding.Forwarder(
+            loop,
+            settings,
+            headers,
+            self._local,
+            self._peers,
+            self._graph,
+            log,
+            self.metrics,
+            self._rng,
+        )
+        self._hub = links.Hub(loop, self._local, self)
+        self._hello = frames.Hello(
+            frames.PROTOCOL, settings.inbound, settings.zone, self._boot
+        )
+        self._outbound = self._make_server(self._forwarder.handle)
+        self._admin = self._make_server(self._handle_admin)
+        self._ready = self._make_server(self._handle_ready)
+        self._figures = self._make_server(self._handle_metrics)
+
+    @property
+    def ready(self) -> bool:
+        """Whether clients may send requests."""
+        return self._config is not None and self._listed and not self._local.stopping
+
+    async def run(self) -> None:
+        """Serves until it is told to stop."""
+        settings = self._settings
+        self._log.write("node", "Started.", boot=self._boot, zone=settings.zone)
+        self._loop.add_signal_handler(signal.SIGTERM, self._stop)
+        self._loop.add_signal_handler(signal.SIGINT, self._stop)
+        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self._hub.listen(settings.inbound)
+        await self._outbound.listen(settings.outbound)
+        await self._admin.listen(settings.admin)
+        await self._ready.listen(settings.readiness)
+        await self._figures.listen(settings.metrics)
+        self._tasks = [
+            self._loop.create_task(self._follow_config()),
+            self._loop.create_task(self._follow_nodes()),
+            self._loop.create_task(self._tick_forever()),
+        ]
+        await self._stopping.wait()
+        await self._wind_down()
+
+    def receive_state(self, peer: links.Peer, state: frames.State) -> None:
+        """Takes the state of another node."""
+        if state.edges:
+            self._graph.learn([chains.Edge(*edge) for edge in state.edges])
+        own = self._config.version if self._config else 0
+        if state.config_version > own:
+            self._loop.call_later(PEER_CONFIG_DELAY_S, self._ask_config, peer)
+
+    def receive_hello(self, hello: frames.Hello) -> None:
+        """Learns of a node that opened a connection."""
+        self._add_peer(hello.address, hello.zone)
+
+    def receive_config(self, reply: frames.ConfigReply) -> None:
+        """Takes a config from another node."""
+        self._use_config(reply.raw, "peer")
+
+    def get_config(self) -> data.Config | None:
+        """Gets the config in force."""
+        return self._config
+
+    def make_state(self) -> frames.State:
+        """Makes the state to tell other nodes."""
+        current = self._presence.current
+        queue = self._local.queue
+        return frames.State(
+            current.instance if current else "",
+            self._settings.service,
+            self._settings.zone,
+            self._local.accepting,
+            queue.limit,
+            queue.load,
+            int(queue.service_s * 1e6),
+            round(queue.pressure, 3),
+            current is None or current.warmup_s <= 0,
+            self._config.version if self._config else 0,
+            [tuple(edge) for edge in self._edges],
+        )
+
+    def note_peer(self, peer: links.Peer, event: str) -> None:
+        """Logs that a node was lost or came back."""
+        if self._log.allows("peer"):
+            self._log.write("peer", f"Peer {event}.", peer=peer.address)
+
+    _edges: tuple[chains.Edge, ...] = ()
+
+    def _make_server(self, handler: http1.Handler) -> http1.HttpServer:
+        return http1.HttpServer(self._loop, handler, DEFAULT_LIMITS, self._note_bad)
+
+    def _note_bad(self, status: int) -> None:
+        self.metrics.count("bad_requests", f'status="{status}"')
+
+    def _handle_ready(
+        self, connection: http1.ServerConnection, request: http1.Request
+    ) -> None:
+        path = request.target.decode("latin-1")
+        method = request.method.decode("latin-1")
+        if not self._platform.is_readiness_path(method, path):
+            connection.reply_status(404)
+            return
+        connection.reply_status(200 if self.ready else 503)
+
+    def _handle_metrics(
+        self, connection: http1.ServerConnection, request: http1.Request
+    ) -> None:
+        connection.reply_status(200, body=self.metrics.format_text().encode())
+
+    def _handle_admin(
+        self, connection: http1.ServerConnection, request: http1.Request
+    ) -> None:
+        method = request.method.decode("latin-1")
+        path = request.target.decode("latin-1")
+        try:
+            said = self._platform.parse_announcement(method, path, request.body)
+        except data.Undecodable as error:
+            self._log.write("announce", "Ignored: not readable.", why=str(error))
+            connection.reply_status(400)
+            return
+        if said is None:
+            connection.reply_status(404)
+            return
+        before = self._presence.current
+        taken = self._presence.take(self._loop.time(), said)
+        self._note_announcement(before, said, taken)
+        connection.reply_status(
+            200, b"Content-Type: application/json\r\n", b"{}"
+        )
+
+    def _note_announcement(
+        self, before: data.Announcement | None, said: data.Announcement, taken: bool
+    ) -> None:
+        now = self._presence.current
+        if not taken and self._log.allows("announce", failure=True):
+            self._log.write("announce", "Ignored: older or foreign.", said=said)
+        changed = now is not None and (
+            before is None
+            or (before.instance, before.born_ms, before.state, before.slots)
+            != (now.instance, now.born_ms, now.state, now.slots)
+        )
+        if not changed:
+            return
+        self._local.queue.set_slots(now.slots)
+        self._log.write(
+            "announce",
+            "The endpoint changed.",
+            instance=now.instance,
+            state=now.state.value,
+            seq=now.seq,
+            slots=now.slots,
+        )
+        if now.state is not data.EndpointState.READY:
+            self._local.refuse_waiting()
+        self._hub.broadcast()
+
+    async def _follow_config(self) -> None:
+        pause = STORE_PAUSE_S
+        offset: int | None = None
+        while True:
+            try:
+                if offset is None:
+                    record = await self._store.read_config()
+                    offset = 0 if record is None else record.offset + 1
+                else:
+                    record = await self._store.wait_config(offset, CONFIG_WAIT_S)
+                if record is not None:
+                    offset = record.offset + 1
+                    self._use_config(record.value, "store")
+                self._note_store(None)
+                pause = STORE_PAUSE_S
+            except data.HistoryDropped:
+                offset = None
+            except data.StoreError as error:
+                self._note_store(error.why)
+                await asyncio.sleep(pause * self._rng.uniform(0.7, 1.3))
+                pause = min(STORE_MAX_PAUSE_S, 2 * pause)
+
+    async def _follow_nodes(self) -> None:
+        entry = NodeEntry(
+            self._settings.inbound,
+            self._settings.zone,
+            self._settings.service,
+            self._boot,
+        )
+        value = msgspec.msgpack.encode(entry)
+        await self._retry_store(
+            lambda: self._store.write_node(self._settings.node, value)
+        )
+        while True:
+            records = await self._retry_store(self._store.read_nodes)
+            self._take_nodes(records)
+            self._listed = True
+            await asyncio.sleep(NODES_EVERY_S * self._rng.uniform(0.8, 1.2))
+
+    async def _retry_store(self, call: object) -> object:
+        pause = STORE_PAUSE_S
+        while True:
+            try:
+                return await call()
+            except data.StoreError as error:
+                self._note_store(error.why)
+                if self._peers:
+                    self._listed = True
+                await asyncio.sleep(pause * self._rng.uniform(0.7, 1.3))
+                pause = min(STORE_MAX_PAUSE_S, 2 * pause)
+
+    def _take_nodes(self, records: list[data.StoreRecord]) -> None:
+        for record in records:
+            if not record.value:
+                continue
+            try:
+                entry = msgspec.msgpack.decode(record.value, type=NodeEntry)
+            except msgspec.MsgspecError as error:
+                self._log.write("peer", "Entry not readable.", why=str(error))
+                continue
+            self._add_peer(entry.address, entry.zone)
+
+    def _add_peer(self, address: str, zone: str) -> None:
+        if address == self._settings.inbound or address in self._peers:
+            return
+        peer = links.Peer(
+            self._loop, address, zone, self._hello, self, self._rng
+        )
+        self._peers[address] = peer
+        peer.tick(self._loop.time())
+
+    def _ask_config(self, peer: links.Peer) -> None:
+        own = self._config.version if self._config else 0
+        if peer.state is not None and peer.state.config_version > own:
+            peer.ask_config(own)
+
+    def _use_config(self, raw: bytes, source: str) -> None:
+        try:
+            config = self._platform.parse_config(raw)
+        except data.Undecodable as error:
+            self._log.write("config", "Ignored: not valid.", why=str(error))
+            return
+        if self._config is not None and config.version <= self._config.version:
+            return
+        self._config = config
+        self._forwarder.set_config(config)
+        self._outbound.limits = config.limits
+        self._log.write(
+            "config",
+            "In force.",
+            version=config.version,
+            routes=len(config.routes),
+            source=source,
+        )
+
+    def _note_store(self, why: str | None) -> None:
+        if (why is not None) == self._store_lost:
+            return
+        self._store_lost = why is not None
+        if why is None:
+            self._log.write("store", "Reached again.")
+        else:
+            self._log.write("store", "Lost.", why=why)
+
+    async def _tick_forever(self) -> None:
+        last = self._loop.time()
+        state_at = sweep_at = edges_at = last
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self._loop.time()
+            passed, last = now - last, now
+            self._local.tick(now)
+            self._local.queue.update_pressure()
+            self._forwarder.update_pressure(min(passed, 4 * TICK_S))
+            if now >= state_at:
+                state_at = now + STATE_EVERY_S
+                self._hub.broadcast()
+                self._tick_peers(now)
+                self._edges = ()
+            if now >= edges_at:
+                edges_at = now + EDGES_EVERY_S
+                self._refresh_edges()
+            if now >= sweep_at:
+                sweep_at = now + SWEEP_EVERY_S
+                self._outbound.sweep(now)
+            self._log.flush()
+
+    def _refresh_edges(self) -> None:
+        """Tells other nodes, and this one, what was counted here."""
+        edges = self._graph.get_local_edges()
+        self._graph.learn(edges)
+        self._edges = tuple(edges)
+
+    def _tick_peers(self, now: float) -> None:
+        for address, peer in list(self._peers.items()):
+            peer.tick(now)
+            since = peer.unreachable_since
+            if since is not None and now - since > FORGET_PEER_S:
+                peer.close()
+                del self._peers[address]
+
+    def _reload(self) -> None:
+        try:
+            self._settings = self._platform.load_settings()
+        except (OSError, data.Undecodable) as error:
+            self._log.write("node", "Settings not reloaded.", why=str(error))
+            return
+        self._log.write("node", "Settings reloaded.")
+
+    def _stop(self) -> None:
+        if self._local.stopping:
+            return
+        self._log.write("node", "Stopping.", pending=self._forwarder.pending)
+        self._local.stopping = True
+        self._stop_at = self._loop.time()
+        self._hub.broadcast()
+        self._stopping.set()
+
+    async def _wind_down(self) -> None:
+        settle = self._stop_at + STOP_SETTLE_S
+        last = self._stop_at + self._settings.grace_s - STOP_MARGIN_S
+        while True:
+            now = self._loop.time()
+            busy = self._forwarder.pending or self._local.queue.load
+            if now >= last or (now >= settle and not busy):
+                break
+            if now >= settle:
+                self._outbound.closing = True
+            await asyncio.sleep(TICK_S)
+        self._log.write("node", "Stopped.", pending=self._forwarder.pending)
+        self._log.flush()
+        for task in self._tasks:
+            task.cancel()
--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/chains.py
@@ -0,0 +1,127 @@
+"""Learns which calls the requests of a route make, and so what they lead to.
+
+An endpoint's call ends at the time limit of the request that it was made for, so
+the node beside the endpoint can tell whose call it is by its remaining time.
+"""
+
+import bisect
+from typing import NamedTuple
+
+MATCH_S = 0.004
+MIN_RUNS = 20
+MIN_CALLS = 0.05
+MAX_DEPTH = 16
+
+
+class Edge(NamedTuple):
+    """Calls that a request of a route makes.
+
+    :param route: name of the route of the request.
+    :param callee: name of the route of the calls.
+    :param service: service that the calls go to.
+    :param calls: calls for each request.
+    """
+
+    route: str
+    callee: str
+    service: str
+    calls: float
+
+
+class RunningRequests:
+    """Requests that run at the local endpoint, found by their time limits."""
+
+    def __init__(self) -> None:
+        self._ends: list[tuple[float, int]] = []
+        self._routes: dict[int, str] = {}
+
+    def add(self, number: int, route: str, ends_at: float) -> None:
+        """Notes that a request runs until ``ends_at`` at the latest."""
+        bisect.insort(self._ends, (ends_at, number))
+        self._routes[number] = route
+
+    def remove(self, number: int, ends_at: float) -> None:
+        """Notes that a request is done."""
+        if self._routes.pop(number, None) is None:
+            return
+        index = bisect.bisect_left(self._ends, (ends_at, number))
+        del self._ends[index]
+
+    def find(self, ends_at: float) -> str | None:
+        """Finds the route of the request whose call ends at ``ends_at``."""
+        low = bisect.bisect_left(self._ends, (ends_at - MATCH_S, 0))
+        best = None
+        for ends, number in self._ends[low:]:
+            if ends > ends_at + MATCH_S:
+                break
+            distance = abs(ends - ends_at)
+            if best is None or distance < best[0]:
+                best = (distance, number)
+        return None if best is None else self._routes[best[1]]
+
+
+class CallGraph:
+    """Calls by route, as counted here and as other nodes say."""
+
+    def __init__(self) -> None:
+        self._runs: dict[str, int] = {}
+        self._calls: dict[tuple[str, str, str], int] = {}
+        self._orphans: dict[str, int] = {}
+        self._owned: dict[str, int] = {}
+        self._heard: dict[tuple[str, str], Edge] = {}
+        self._reach: dict[str, dict[str, float]] = {}
+
+    def count_run(self, route: str) -> None:
+        """Counts a request that runs at the local endpoint."""
+        self._runs[route] = self._runs.get(route, 0) + 1
+
+    def count_arrival(self, route: str, service: str, parent: str | None) -> None:
+        """Counts a request from this VM, a call if it has a parent."""
+        if parent is None or parent == route:
+            self._orphans[route] = self._orphans.get(route, 0) + 1
+            return
+        self._owned[route] = self._owned.get(route, 0) + 1
+        key = (parent, route, service)
+        self._calls[key] = self._calls.get(key, 0) + 1
+
+    def is_call(self, route: str) -> bool:
+        """Tells whether requests of a route are made by endpoints."""
+        return any(key[1] == route for key in self._heard) or (
+            self._owned.get(route, 0) > 3 * self._orphans.get(route, 0)
+        )
+
+    def get_local_edges(self) -> list[Edge]:
+        """Gets what was counted here and is certain enough."""
+        edges = []
+        for (route, callee, service), count in self._calls.items():
+            runs = self._runs.get(route, 0)
+            owned = self._owned.get(callee, 0) > 3 * self._orphans.get(callee, 0)
+            if runs >= MIN_RUNS and owned and count >= MIN_CALLS * runs:
+                edges.append(Edge(route, callee, service, round(count / runs, 2)))
+        return edges
+
+    def learn(self, edges: list[Edge]) -> None:
+        """Takes what a node says that counted it."""
+        for edge in edges:
+            self._heard[edge.route, edge.callee] = edge
+        self._reach.clear()
+
+    def get_reach(self, route: str) -> dict[str, float]:
+        """Gets the services that a request leads to, with calls for each."""
+        found = self._reach.get(route)
+        if found is None:
+            found = self._compute_reach(route, 0)
+            self._reach[route] = found
+        return found
+
+    def _compute_reach(self, route: str, depth: int) -> dict[str, float]:
+        reach: dict[str, float] = {}
+        if depth > MAX_DEPTH:
+            return reach
+        for edge in self._heard.values():
+            if edge.route != route:
+                continue
+            reach[edge.service] = reach.get(edge.service, 0.0) + edge.calls
+            for service, calls in self._compute_reach(edge.callee, depth + 1).items():
+                reach[service] = reach.get(service, 0.0) + edge.calls * calls
+        return reach
--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/placement.py
@@ -0,0 +1,53 @@
+"""Chooses the endpoint of a request: the one expected to answer first.
+
+Load it answers: endpoints of one service that differ threefold in speed, with
+load reports that are a few milliseconds old.
+"""
+
+import random
+from collections.abc import Iterable
+from typing import NamedTuple
+
+CANDIDATES = 4
+JITTER = 0.1
+DEFAULT_SERVICE_S = 0.02
+FAILURE_HALF_LIFE_S = 2.0
+FAILURE_WEIGHT = 4.0
+WARMUP_FACTOR = 2.0
+
+
+class Candidate(NamedTuple):
+    """An endpoint as the node where a request arrived sees it.
+
+    :param load: requests that run or wait there, those on their way included.
+    :param limit: requests that it runs at once.
+    :param service_s: usual time that a request works there.
+    :param distance_s: time that a request and its answer travel.
+    :param failures: recent failures, a number that fades.
+    """
+
+    node: str
+    load: float
+    limit: int
+    service_s: float
+    distance_s: float
+    failures: float
+
+
+def compute_expected_s(candidate: Candidate) -> float:
+    """Computes the time until the answer of one more request."""
+    rounds = (candidate.load + 1.0) / max(1, candidate.limit)
+    busy = candidate.service_s * max(1.0, rounds) + 0.2 * candidate.service_s * rounds
+    return (busy + candidate.distance_s) * (1.0 + FAILURE_WEIGHT * candidate.failures)
+
+
+def choose(candidates: Iterable[Candidate], rng: random.Random) -> Candidate | None:
+    """Chooses among some random candidates; None if there are none."""
+    pool = list(candidates)
+    if len(pool) > CANDIDATES:
+        pool = rng.sample(pool, CANDIDATES)
+    if not pool:
+        return None
+    return min(
+        pool, key=lambda one: compute_expected_s(one) * (1.0 + JITTER * rng.random())
+    )
--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/__init__.py
@@ -0,0 +1,1 @@
+"""The side of the endpoint: queue, limit, connections, announcements."""
--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/queue.py
@@ -0,0 +1,194 @@
+"""Decides which requests run at the local endpoint, which wait, which are refused.
+
+Load it answers: more arrivals than the endpoint's slots can work off. A request
+waits only if it is expected to get a slot while its answer is still of use; calls
+of requests that already run go before fresh ones, then the more important, then
+those that came first.
+"""
+
+import heapq
+from typing import Any, NamedTuple
+
+SLOTS_SHARE = 0.95
+SERVICE_WEIGHT = 0.02
+INITIAL_SERVICE_S = 0.03
+WAIT_SHARE = 0.5
+MIN_WAIT_S = 0.02
+PRESSURE_WAIT_S = 0.03
+PRESSURE_WEIGHT = 0.2
+
+
+class Waiting(NamedTuple):
+    """A request that waits for a slot. The order of the fields is the order of runs.
+
+    :param call_order: 0 for calls of running requests, 1 for fresh ones.
+    :param number: order of arrival.
+    :param expires_at: when it is refused instead.
+    """
+
+    call_order: int
+    rank: int
+    number: int
+    expires_at: float
+    entry: Any
+
+
+class EndpointQueue:
+    """Slots of the local endpoint and the requests that wait for one."""
+
+    def __init__(self) -> None:
+        self._limit = 0
+        self._running = 0
+        self._heap: list[Waiting] = []
+        self._gone: set[int] = set()
+        self._service_s = INITIAL_SERVICE_S
+        self._number = 0
+        self._pressure = 0.0
+        self._turned_away = 0
+        self._arrived = 0
+
+    @property
+    def limit(self) -> int:
+        """Requests that may run at once."""
+        return self._limit
+
+    @property
+    def running(self) -> int:
+        """Requests that run."""
+        return self._running
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait."""
+        return len(self._heap) - len(self._gone)
+
+    @property
+    def load(self) -> int:
+        """Requests that run or wait."""
+        return self._running + self.waiting
+
+    @property
+    def service_s(self) -> float:
+        """Usual time that a request takes at the endpoint."""
+        return self._service_s
+
+    @property
+    def pressure(self) -> float:
+        """Load over what can be done in time; above 1 work should be kept away."""
+        return self._pressure
+
+    def set_slots(self, slots: int) -> None:
+        """Sets the slots that the endpoint announced."""
+        self._limit = max(1, int(slots * SLOTS_SHARE))
+
+    def estimate_wait_s(self, call: bool) -> float:
+        """Estimates how long one more request would wait."""
+        free = self._limit - self._running
+        ahead = self.waiting if not call else self._count_calls()
+        if free > ahead:
+            return 0.0
+        return (ahead - free + 1) * self._service_s / max(1, self._limit)
+
+    def offer(
+        self,
+        now: float,
+        *,
+        call: bool,
+        rank: int,
+        left_s: float,
+        target_s: float,
+        entry: Any,
+    ) -> tuple[bool, int | None]:
+        """Offers a request.
+
+        :param left_s: time that its sender still waits.
+        :param target_s: time within which its answer is worth most.
+        :returns: whether it runs now, else its number in the queue, else refused
+            (False, None).
+        """
+        self._arrived += 1
+        if self._running < self._limit and not self.waiting:
+            self._running += 1
+            return True, None
+        budget = compute_wait_budget_s(left_s, target_s, self._service_s, call)
+        if self.estimate_wait_s(call) > budget:
+            self._turned_away += 1
+            return False, None
+        self._number += 1
+        waiting = Waiting(0 if call else 1, rank, self._number, now + budget, entry)
+        heapq.heappush(self._heap, waiting)
+        return False, self._number
+
+    def withdraw(self, number: int) -> None:
+        """Takes a waiting request out."""
+        self._gone.add(number)
+
+    def finish(self, service_s: float | None) -> None:
+        """Frees a slot.
+
+        :param service_s: time at the endpoint; None if it says nothing.
+        """
+        self._running -= 1
+        if service_s is not None:
+            self._service_s += SERVICE_WEIGHT * (service_s - self._service_s)
+
+    def take_next(self, now: float) -> tuple[list[Any], list[Any]]:
+        """Takes the requests that get a slot, and those that waited too long."""
+        ready: list[Any] = []
+        expired: list[Any] = []
+        while self._heap and self._running < self._limit:
+            waiting = heapq.heappop(self._heap)
+            if waiting.number in self._gone:
+                self._gone.discard(waiting.number)
+            elif waiting.expires_at < now:
+                self._turned_away += 1
+                expired.append(waiting.entry)
+            else:
+                self._running += 1
+                ready.append(waiting.entry)
+        return ready, expired
+
+    def take_expired(self, now: float) -> list[Any]:
+        """Takes the requests that have waited too long."""
+        expired = [w for w in self._heap if w.expires_at < now]
+        if not expired:
+            return []
+        late = [w.entry for w in expired if w.number not in self._gone]
+        self._turned_away += len(late)
+        for waiting in expired:
+            self._gone.discard(waiting.number)
+        self._heap = [w for w in self._heap if w.expires_at >= now]
+        heapq.heapify(self._heap)
+        return late
+
+    def take_all(self) -> list[Any]:
+        """Takes out every waiting request."""
+        entries = [w.entry for w in self._heap if w.number not in self._gone]
+        self._heap.clear()
+        self._gone.clear()
+        return entries
+
+    def update_pressure(self) -> float:
+        """Folds the load of the last interval into the pressure."""
+        limit = max(1, self._limit)
+        use = self._running / limit
+        wait = self.estimate_wait_s(call=False) / PRESSURE_WAIT_S
+        refused = self._turned_away / self._arrived if self._arrived else 0.0
+        self._turned_away = 0
+        self._arrived = 0
+        seen = use * 0.95 + wait + 2.0 * refused
+        self._pressure += PRESSURE_WEIGHT * (seen - self._pressure)
+        return self._pressure
+
+    def _count_calls(self) -> int:
+        return sum(1 for waiting in self._heap if waiting.call_order == 0)
+
+
+def compute_wait_budget_s(
+    left_s: float, target_s: float, service_s: float, call: bool
+) -> float:
+    """Computes how long a request may wait for a slot."""
+    useful = left_s - 1.5 * service_s
+    if not call:
+        useful = min(useful, WAIT_SHARE * target_s)
+    return max(MIN_WAIT_S, useful) if useful > 0 else 0.0
--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Log lines and metrics."""
