Admit fresh work by what its chain needs; tell demand between nodes

Calls were not told from fresh work: they carry their own route's time limit, not the parent's.

Now nodes tell each other the demanded work by service and rank, and admit the share that fits the capacity, most important first. A call takes the rank of its chain.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Entry points. Each target sets up the virtual environment it needs.
 PYTHON ?= python3
 BIN = .venv/bin
-PACKAGES = catkintiller catkintiller-node catkintiller-operator catkintiller-standins
+PACKAGES = catkintiller catkintiller-node catkintiller-operator catkintiller-standins catkintiller-relay
 SEED ?= 1
 
 .PHONY: setup demo test lint format docs faults bench keys latency capacity clean
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
@@ -28,8 +28,9 @@
 
     :param accepting: whether its endpoint takes new requests.
     :param service_us: usual time that a request works there, in microseconds.
-    :param pressure: load over what can be done in time.
+    :param use: arriving work over the work that can be done.
     :param edges: calls by route that were counted there.
+    :param demand: work a second demanded there, by service and rank.
     """
 
     instance: str
@@ -39,10 +40,11 @@
     limit: int
     load: int
     service_us: int
-    pressure: float
+    use: float
     warm: bool
     config_version: int
     edges: list[tuple[str, str, str, float]]
+    demand: dict[str, dict[int, int]]
 
 
 class Submit(msgspec.Struct, tag=3, array_like=True):
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -18,13 +18,15 @@
 TICK_S = 0.05
 STATE_EVERY_S = 0.25
 SWEEP_EVERY_S = 1.0
-EDGES_EVERY_S = 2.0
+EDGES_EVERY_S = 0.5
+EDGES_AGAIN_EVERY_S = 5.0
+ENTRY_EVERY_S = 10.0
 CONFIG_WAIT_S = 20.0
 STORE_PAUSE_S = 0.2
 STORE_MAX_PAUSE_S = 1.0
 NODES_EVERY_S = 20.0
 NODES_SECOND_LOOK_S = 0.5
-STOP_SETTLE_S = 2.6
+STOP_SETTLE_S = 3.3
 STOP_MARGIN_S = 0.7
 PEER_CONFIG_DELAY_S = 0.3
 FORGET_PEER_S = 30.0
@@ -33,12 +35,16 @@
 
 
 class NodeEntry(NamedTuple):
-    """What a node keeps in the store about itself."""
+    """What a node keeps in the store about itself.
+
+    :param edges: calls by route that it counted, for nodes that start anew.
+    """
 
     address: str
     zone: str
     service: str
     boot: str
+    edges: tuple[chains.Edge, ...] = ()
 
 
 class Node(links.LinkObserver):
@@ -63,7 +69,10 @@
         self._boot = secrets.token_hex(6)
         self._config: data.Config | None = None
         self._peers: dict[str, links.Peer] = {}
-        self._heard_edges: dict[tuple[str, str], int] = {}
+        self._counted: tuple[chains.Edge, ...] = ()
+        self._edges_to_tell: tuple[chains.Edge, ...] = ()
+        self._edges_told_at = 0.0
+        self._written_edges: set[tuple[str, str, str]] = set()
         self._listed = False
         self._stopping = asyncio.Event()
         self._stop_at = 0.0
@@ -155,10 +164,11 @@
             queue.limit,
             queue.load,
             int(queue.service_s * 1e6),
-            round(queue.pressure, 3),
+            round(queue.use, 3),
             current is None or current.warmup_s <= 0,
             self._config.version if self._config else 0,
-            [tuple(edge) for edge in self._edges],
+            [tuple(edge) for edge in self._edges_to_tell],
+            self._forwarder.get_demand(),
         )
 
     def note_peer(self, peer: links.Peer, event: str) -> None:
@@ -166,8 +176,6 @@
         if self._log.allows("peer"):
             self._log.write("peer", f"Peer {event}.", peer=peer.address)
 
-    _edges: tuple[chains.Edge, ...] = ()
-
     def _make_server(self, handler: http1.Handler) -> http1.HttpServer:
         return http1.HttpServer(self._loop, handler, DEFAULT_LIMITS, self._note_bad)
 
@@ -259,21 +267,29 @@
                 pause = min(STORE_MAX_PAUSE_S, 2 * pause)
 
     async def _follow_nodes(self) -> None:
+        await self._retry_store(self._write_entry)
+        read_at = 0.0
+        while True:
+            if self._loop.time() >= read_at:
+                self._take_nodes(await self._retry_store(self._store.read_nodes))
+                self._listed = True
+                pause = NODES_EVERY_S * self._rng.uniform(0.8, 1.2)
+                read_at = self._loop.time() + pause
+            await asyncio.sleep(ENTRY_EVERY_S * self._rng.uniform(0.3, 1.0))
+            if {edge[:3] for edge in self._counted} - self._written_edges:
+                await self._retry_store(self._write_entry)
+
+    async def _write_entry(self) -> None:
         entry = NodeEntry(
             self._settings.inbound,
             self._settings.zone,
             self._settings.service,
             self._boot,
+            self._counted,
         )
         value = msgspec.msgpack.encode(entry)
-        await self._retry_store(
-            lambda: self._store.write_node(self._settings.node, value)
-        )
-        while True:
-            records = await self._retry_store(self._store.read_nodes)
-            self._take_nodes(records)
-            self._listed = True
-            await asyncio.sleep(NODES_EVERY_S * self._rng.uniform(0.8, 1.2))
+        await self._store.write_node(self._settings.node, value)
+        self._written_edges |= {edge[:3] for edge in entry.edges}
 
     async def _retry_store(self, call: object) -> object:
         pause = STORE_PAUSE_S
@@ -296,6 +312,7 @@
             except msgspec.MsgspecError as error:
                 self._log.write("peer", "Entry not readable.", why=str(error))
                 continue
+            self._graph.learn(list(entry.edges))
             self._add_peer(entry.address, entry.zone)
 
     def _add_peer(self, address: str, zone: str) -> None:
@@ -348,26 +365,47 @@
             now = self._loop.time()
             passed, last = now - last, now
             self._local.tick(now)
-            self._local.queue.update_pressure()
-            self._forwarder.update_pressure(min(passed, 4 * TICK_S))
+            self._local.queue.update_use(passed)
+            self._forwarder.update_shares(passed)
             if now >= state_at:
                 state_at = now + STATE_EVERY_S
                 self._hub.broadcast()
                 self._tick_peers(now)
-                self._edges = ()
+                self._edges_to_tell = ()
             if now >= edges_at:
                 edges_at = now + EDGES_EVERY_S
-                self._refresh_edges()
+                self._refresh_edges(now)
             if now >= sweep_at:
                 sweep_at = now + SWEEP_EVERY_S
                 self._outbound.sweep(now)
+                self._log_load()
             self._log.flush()
 
-    def _refresh_edges(self) -> None:
+    def _log_load(self) -> None:
+        queue = self._local.queue
+        self._log.write(
+            "queue",
+            "Load.",
+            running=queue.running,
+            waiting=queue.waiting,
+            limit=queue.limit,
+            service_ms=round(queue.service_s * 1000, 1),
+            use=round(queue.use, 2),
+            refused=queue.take_refused(),
+            pending=self._forwarder.pending,
+            shares=self._forwarder.get_shares(),
+        )
+
+    def _refresh_edges(self, now: float) -> None:
         """Tells other nodes, and this one, what was counted here."""
         edges = self._graph.get_local_edges()
-        self._graph.learn(edges)
-        self._edges = tuple(edges)
+        known = {edge[:3] for edge in self._counted}
+        self._counted = tuple(edges)
+        new = {edge[:3] for edge in edges} - known
+        if new or now - self._edges_told_at > EDGES_AGAIN_EVERY_S:
+            self._edges_told_at = now
+            self._graph.learn(edges)
+            self._edges_to_tell = self._counted
 
     def _tick_peers(self, now: float) -> None:
         for address, peer in list(self._peers.items()):
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/budget.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/budget.py
@@ -1,50 +1,60 @@
 """Bounds how often requests are sent to a second endpoint, over all nodes.
 
-Each node earns a fraction of a token with each first sending to a service, and
-pays one token for each further sending. Tokens expire with the window. The sum
-over nodes therefore stays below the ratio of all requests, without any talk
-between nodes, and a node that restarts begins with nothing.
+Each node keeps its repeats of the last window below a share of its first sendings
+in that window. The sum over nodes therefore stays below the same share of all
+requests, without any talk between nodes, and a node that restarts begins with
+nothing. Calls leave a part of the share to requests of clients: when much fails, a
+chain of calls fails in spite of a repeat, a single request does not.
 """
 
-EARN_SHARE = 0.5
-MAX_TOKENS = 20.0
+import collections
+
+SAFE_SHARE = 0.85
+BUCKETS = 10
+CALL_SHARE = 0.5
 
 
 class RetryBudget:
-    """Tokens of one node for one service.
+    """Repeats of one node for one service.
 
     :param ratio: repeats that the deployment allows for each request.
     :param window_s: time over which the ratio holds.
     """
 
     def __init__(self, ratio: float, window_s: float) -> None:
-        self._earn = ratio * EARN_SHARE
-        self._window_s = window_s
-        self._tokens = 0.0
-        self._updated = 0.0
-
-    @property
-    def tokens(self) -> float:
-        """Repeats that are allowed now."""
-        return self._tokens
+        self._ratio = ratio * SAFE_SHARE
+        self._bucket_s = window_s / BUCKETS
+        self._buckets: collections.deque[list[float]] = collections.deque()
+        self._first = 0.0
+        self._repeats = 0.0
 
     def earn(self, now: float) -> None:
         """Counts the first sending of a request."""
-        self._decay(now)
-        self._tokens = min(MAX_TOKENS, self._tokens + self._earn)
+        self._roll(now)[1] += 1.0
+        self._first += 1.0
 
-    def spend(self, now: float, cost: float = 1.0) -> bool:
-        """Pays for a further sending; False if it is not allowed.
+    def allows(self, now: float, cost: float, *, call: bool) -> bool:
+        """Tells whether further sendings are within the bound.
 
-        :param cost: sendings that follow, those of the request's calls included.
+        :param cost: sendings, those of the request's calls included.
+        :param call: whether an endpoint makes the request while it runs another.
         """
-        self._decay(now)
-        if self._tokens < cost:
-            return False
-        self._tokens -= cost
-        return True
-
-    def _decay(self, now: float) -> None:
-        passed = now - self._updated
-        self._updated = now
-        self._tokens *= max(0.0, 1.0 - passed / self._window_s)
+        self._roll(now)
+        usable = CALL_SHARE if call else 1.0
+        return self._repeats + cost <= self._ratio * usable * self._first
+
+    def spend(self, now: float, cost: float) -> None:
+        """Counts further sendings."""
+        self._roll(now)[2] += cost
+        self._repeats += cost
+
+    def _roll(self, now: float) -> list[float]:
+        number = int(now / self._bucket_s)
+        buckets = self._buckets
+        while buckets and buckets[0][0] <= number - BUCKETS:
+            _, first, repeats = buckets.popleft()
+            self._first -= first
+            self._repeats -= repeats
+        if not buckets or buckets[-1][0] != number:
+            buckets.append([number, 0.0, 0.0])
+        return buckets[-1]
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/chains.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/chains.py
@@ -1,14 +1,16 @@
 """Learns which calls the requests of a route make, and so what they lead to.
 
-An endpoint's call ends at the time limit of the request that it was made for, so
-the node beside the endpoint can tell whose call it is by its remaining time.
+The node beside an endpoint knows which requests run there. A call whose identity
+extends that of a running request, or that ends with its time limit, was made for it.
+Where neither tells, the call counts as fresh work.
 """
 
 import bisect
 from typing import NamedTuple
 
 MATCH_S = 0.004
-MIN_RUNS = 20
+MAX_MATCHES = 8
+MIN_RUNS = 8
 MIN_CALLS = 0.05
 MAX_DEPTH = 16
 
@@ -28,36 +30,69 @@
     calls: float
 
 
+class Parent(NamedTuple):
+    """A request that runs at the local endpoint.
+
+    :param rank: importance of the request that began its chain.
+    """
+
+    route: str
+    rank: int
+
+
 class RunningRequests:
-    """Requests that run at the local endpoint, found by their time limits."""
+    """Requests that run at the local endpoint, and whose calls come from this VM."""
 
     def __init__(self) -> None:
         self._ends: list[tuple[float, int]] = []
-        self._routes: dict[int, str] = {}
+        self._parents: dict[int, Parent] = {}
+        self._families: dict[bytes, dict[int, Parent]] = {}
 
-    def add(self, number: int, route: str, ends_at: float) -> None:
+    def add(
+        self, number: int, parent: Parent, request_id: bytes, ends_at: float
+    ) -> None:
         """Notes that a request runs until ``ends_at`` at the latest."""
         bisect.insort(self._ends, (ends_at, number))
-        self._routes[number] = route
+        self._parents[number] = parent
+        self._families.setdefault(get_family(request_id), {})[number] = parent
 
-    def remove(self, number: int, ends_at: float) -> None:
+    def remove(self, number: int, request_id: bytes, ends_at: float) -> None:
         """Notes that a request is done."""
-        if self._routes.pop(number, None) is None:
+        if self._parents.pop(number, None) is None:
             return
         index = bisect.bisect_left(self._ends, (ends_at, number))
         del self._ends[index]
-
-    def find(self, ends_at: float) -> str | None:
-        """Finds the route of the request whose call ends at ``ends_at``."""
+        family = get_family(request_id)
+        members = self._families[family]
+        del members[number]
+        if not members:
+            del self._families[family]
+
+    def find(self, request_id: bytes, ends_at: float) -> Parent | None:
+        """Finds the request that a call is made for.
+
+        :param request_id: of the call; it may begin like its parent's.
+        :param ends_at: when the sender of the call stops waiting.
+        """
+        family = get_family(request_id)
+        if family != request_id:
+            members = self._families.get(family)
+            if members:
+                return next(reversed(members.values()))
         low = bisect.bisect_left(self._ends, (ends_at - MATCH_S, 0))
         best = None
-        for ends, number in self._ends[low:]:
+        for ends, number in self._ends[low : low + MAX_MATCHES]:
             if ends > ends_at + MATCH_S:
                 break
             distance = abs(ends - ends_at)
             if best is None or distance < best[0]:
                 best = (distance, number)
-        return None if best is None else self._routes[best[1]]
+        return None if best is None else self._parents[best[1]]
+
+
+def get_family(request_id: bytes) -> bytes:
+    """Gets the part of an identity that a request shares with its calls."""
+    return request_id.partition(b".")[0]
 
 
 class CallGraph:
@@ -70,6 +105,7 @@
         self._owned: dict[str, int] = {}
         self._heard: dict[tuple[str, str], Edge] = {}
         self._reach: dict[str, dict[str, float]] = {}
+        self._callees: set[str] = set()
 
     def count_run(self, route: str) -> None:
         """Counts a request that runs at the local endpoint."""
@@ -86,9 +122,7 @@
 
     def is_call(self, route: str) -> bool:
         """Tells whether requests of a route are made by endpoints."""
-        return any(key[1] == route for key in self._heard) or (
-            self._owned.get(route, 0) > 3 * self._orphans.get(route, 0)
-        )
+        return route in self._callees
 
     def get_local_edges(self) -> list[Edge]:
         """Gets what was counted here and is certain enough."""
@@ -102,8 +136,11 @@
 
     def learn(self, edges: list[Edge]) -> None:
         """Takes what a node says that counted it."""
+        if all(self._heard.get((e.route, e.callee)) == e for e in edges):
+            return
         for edge in edges:
             self._heard[edge.route, edge.callee] = edge
+            self._callees.add(edge.callee)
         self._reach.clear()
 
     def get_reach(self, route: str) -> dict[str, float]:
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarding.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarding.py
@@ -23,8 +23,8 @@
 RETRY_MIN_LEFT_S = 0.05
 NO_CONFIG_RETRY_S = 0.5
 MAX_PENDING = 6000
+MIN_SERVICE_S = 0.001
 MAX_HELD_BYTES = 64 * 1024 * 1024
-CANDIDATE_SAMPLE = 8
 
 _HOP_BY_HOP = frozenset(
     (
@@ -59,6 +59,7 @@
         "forwarder",
         "head",
         "placed",
+        "rank",
         "replaced",
         "request",
         "request_id",
@@ -90,6 +91,7 @@
         self.replaced = 0
         self.unknown = False
         self.call = False
+        self.rank = 0
         self.tried: set[str] = set()
         self.placed: tuple[Any, Any] | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -130,8 +132,7 @@
         self._rng = rng
         self._table: routes.RouteTable | None = None
         self._version = 0
-        self._lowest_rank = 0
-        self._levels: dict[str, shedding.ShedLevel] = {}
+        self._shedders: dict[str, shedding.Shedder] = {}
         self._budgets: dict[str, budget.RetryBudget] = {}
         self._own = frozenset((headers.caller, headers.deadline, headers.target))
         self._pending = 0
@@ -146,7 +147,6 @@
         """Puts a config in force."""
         self._table = routes.RouteTable(config)
         self._version = config.version
-        self._lowest_rank = max((route.rank for route in config.routes), default=0)
 
     def handle(self, connection: http1.ServerConnection, request: http1.Request) -> None:
         """Takes a request of a client or of the local endpoint."""
@@ -173,26 +173,31 @@
         self._finish(pending)
         self._metrics.count("client_left", f'route="{pending.route.name}"')
 
-    def update_pressure(self, passed_s: float) -> None:
-        """Adjusts how much fresh work is refused for each service."""
-        for service, value in self._collect_pressure().items():
-            level = self._levels.get(service)
-            if level is None:
-                level = self._levels[service] = shedding.ShedLevel()
-            before = int(level.level * 10)
-            level.update(value, passed_s)
-            if int(level.level * 10) != before and self._log.allows("shed"):
-                self._log.write(
-                    "shed",
-                    "The refused share changed.",
-                    service=service,
-                    level=round(level.level, 2),
-                    pressure=round(value, 2),
-                )
-
-    def get_levels(self) -> dict[str, float]:
-        """Gets the present levels by service."""
-        return {name: level.level for name, level in self._levels.items()}
+    def update_shares(self, passed_s: float) -> None:
+        """Computes anew how much fresh work is admitted for each service."""
+        told: dict[str, list[shedding.Demand]] = {}
+        for peer in self._peers.values():
+            if peer.state is not None and peer.connected:
+                for service, demand in peer.state.demand.items():
+                    told.setdefault(service, []).append(demand)
+        for service, (capacity, use) in self._collect_capacity().items():
+            shedder = self._get_shedder(service)
+            shedder.update(passed_s, capacity, use, told.get(service, ()))
+
+    def get_shares(self) -> dict[str, dict[int, float]]:
+        """Gets the admitted shares by service and rank, where they are limited."""
+        return {
+            name: {rank: round(share, 2) for rank, share in shedder.admitted.items()}
+            for name, shedder in self._shedders.items()
+            if shedder.admitted
+        }
+
+    def get_demand(self) -> dict[str, dict[int, int]]:
+        """Gets the work a second demanded at this node, by service and rank."""
+        return {
+            name: {rank: round(rate) for rank, rate in shedder.demand.items()}
+            for name, shedder in self._shedders.items()
+        }
 
     def _take(self, pending: Pending, route: data.Route) -> None:
         request = pending.request
@@ -206,16 +211,18 @@
         pending.expires_at = min(deadline - EXPIRY_MARGIN_S, timeout)
         pending.attempts = route.attempts
         pending.service = self._table.pick_service(route)
-        parent = self._local.running.find(deadline)
-        self._graph.count_arrival(route.name, pending.service, parent)
-        pending.call = self._graph.is_call(route.name)
+        parent = self._local.running.find(pending.request_id, deadline)
+        parent_route = None if parent is None else parent.route
+        self._graph.count_arrival(route.name, pending.service, parent_route)
+        pending.rank = route.rank if parent is None else parent.rank
+        pending.call = parent is not None or self._graph.is_call(route.name)
         if now >= pending.expires_at:
             self._refuse(pending, data.RefusalReason.TIMEOUT)
             return
         if self._pending > MAX_PENDING or self._held_bytes > MAX_HELD_BYTES:
             self._refuse(pending, data.RefusalReason.NO_MEMORY)
             return
-        if not pending.call and self._is_shed(route, pending.service):
+        if not pending.call and not self._is_admitted(route, pending.service):
             self._refuse(pending, data.RefusalReason.CHAIN_OVERLOADED)
             return
         pending.head = self._make_head(request)
@@ -253,7 +260,7 @@
             pending.request_id,
             route.name,
             pending.service,
-            route.rank,
+            pending.rank,
             pending.call,
             max(0.001, pending.expires_at - now),
             max(0.0, route.target_latency_s - (now - pending.arrived)),
@@ -337,7 +344,7 @@
             may = (
                 pending.sent < pending.attempts
                 and pending.expires_at - now > RETRY_MIN_LEFT_S
-                and self._spend(pending.service, pending.route.name, now)
+                and self._spend(pending, now)
             )
         else:
             pending.replaced += 1
@@ -447,7 +454,7 @@
                 ms=round((self._loop.time() - pending.arrived) * 1000, 1),
                 call=pending.call,
                 version=self._version,
-                levels={k: round(v, 2) for k, v in self.get_levels().items() if v},
+                shares=self.get_shares(),
             )
 
     def _log_failure(self, pending: Pending, node: str, result: local.Result) -> None:
@@ -465,24 +472,31 @@
                 reason=why,
             )
 
-    def _is_shed(self, route: data.Route, service: str) -> bool:
-        share = 0.0
-        for needed in (service, *self._graph.get_reach(route.name)):
-            level = self._levels.get(needed)
-            if level is not None:
-                found = level.compute_refused_share(route.rank, self._lowest_rank)
-                share = max(share, found)
-        return share > 0.0 and self._rng.random() < share
-
-    def _spend(self, service: str, route: str, now: float) -> bool:
-        reach = self._graph.get_reach(route)
-        for needed, calls in reach.items():
-            if self._get_budget(needed).tokens < calls:
+    def _is_admitted(self, route: data.Route, service: str) -> bool:
+        needs = {service: 1.0}
+        for needed, calls in self._graph.get_reach(route.name).items():
+            needs[needed] = needs.get(needed, 0.0) + calls
+        admitted = True
+        for needed, calls in needs.items():
+            if not self._get_shedder(needed).admit(route.rank, calls):
+                admitted = False
+        return admitted
+
+    def _get_shedder(self, service: str) -> shedding.Shedder:
+        found = self._shedders.get(service)
+        if found is None:
+            found = self._shedders[service] = shedding.Shedder()
+        return found
+
+    def _spend(self, pending: Pending, now: float) -> bool:
+        costs = dict(self._graph.get_reach(pending.route.name))
+        costs[pending.service] = costs.get(pending.service, 0.0) + 1.0
+        budgets = {name: self._get_budget(name) for name in costs}
+        for name, cost in costs.items():
+            if not budgets[name].allows(now, cost, call=pending.call):
                 return False
-        if not self._get_budget(service).spend(now):
-            return False
-        for needed, calls in reach.items():
-            self._get_budget(needed).spend(now, calls)
+        for name, cost in costs.items():
+            budgets[name].spend(now, cost)
         return True
 
     def _get_budget(self, service: str) -> budget.RetryBudget:
@@ -493,19 +507,21 @@
             self._budgets[service] = found
         return found
 
-    def _collect_pressure(self) -> dict[str, float]:
-        sums: dict[str, list[float]] = {}
+    def _collect_capacity(self) -> dict[str, tuple[float, float]]:
+        """Collects requests a second and present use by service."""
+        sums: dict[str, tuple[float, float]] = {}
         if self._local.accepting:
             queue = self._local.queue
-            sums[self._settings.service] = [queue.pressure * queue.limit, queue.limit]
+            capacity = queue.limit / max(MIN_SERVICE_S, queue.service_s)
+            sums[self._settings.service] = (capacity, queue.use * capacity)
         for peer in self._peers.values():
             state = peer.state
             if state is None or not peer.accepting:
                 continue
-            found = sums.setdefault(state.service, [0.0, 0.0])
-            found[0] += state.pressure * state.limit
-            found[1] += state.limit
-        return {name: total / max(1.0, n) for name, (total, n) in sums.items()}
+            capacity = state.limit / max(MIN_SERVICE_S, peer.service_s)
+            total, work = sums.get(state.service, (0.0, 0.0))
+            sums[state.service] = (total + capacity, work + state.use * capacity)
+        return {name: (total, work / total) for name, (total, work) in sums.items()}
 
 
 def parse_deadline_s(value: bytes | None) -> float | None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/placement.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/placement.py
@@ -10,10 +10,10 @@
 
 CANDIDATES = 4
 JITTER = 0.1
-DEFAULT_SERVICE_S = 0.02
-FAILURE_HALF_LIFE_S = 2.0
+FREE_ROUNDS = 0.8
+WAIT_WEIGHT = 2.0
+IDLE_WEIGHT = 0.2
 FAILURE_WEIGHT = 4.0
-WARMUP_FACTOR = 2.0
 
 
 class Candidate(NamedTuple):
@@ -37,7 +37,8 @@
 def compute_expected_s(candidate: Candidate) -> float:
     """Computes the time until the answer of one more request."""
     rounds = (candidate.load + 1.0) / max(1, candidate.limit)
-    busy = candidate.service_s * max(1.0, rounds) + 0.2 * candidate.service_s * rounds
+    waiting = WAIT_WEIGHT * max(0.0, rounds - FREE_ROUNDS)
+    busy = candidate.service_s * (1.0 + waiting + IDLE_WEIGHT * rounds)
     return (busy + candidate.distance_s) * (1.0 + FAILURE_WEIGHT * candidate.failures)
 
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/shedding.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/shedding.py
@@ -1,55 +1,111 @@
 """Decides at the top of a chain how much fresh work a service can still take.
 
 A request that fails deep in its chain wastes all work done before. So the node
-where fresh work arrives refuses it, least important first, as soon as a service
-that it leads to says that it has more work than it can do.
+where fresh work arrives refuses it, least important first, as soon as the work
+that is demanded of a service it leads to exceeds what that service can do. Nodes
+tell each other the work demanded at them, so all admit the same shares at once.
+
+Load it answers: a burst of twice the usual requests, whose calls multiply on the
+way down to the service that fills first.
 """
 
-from typing import NamedTuple
+from collections.abc import Iterable, Mapping
 
-RISE_PER_S = 2.0
-FALL_PER_S = 0.5
-MAX_RISE = 1.0
-RANKS = 4
-TARGET_PRESSURE = 1.0
+TARGET_USE = 0.92
+DEMAND_MEMORY_S = 0.8
+HIGH_USE = 1.1
+TRIM_FALL_PER_S = 0.8
+TRIM_RISE_PER_S = 0.4
+MIN_TRIM = 0.6
+MAX_TRIM = 1.15
 
+Demand = Mapping[int, float]
 
-class Pressure(NamedTuple):
-    """What a service's endpoints say of their load.
 
-    :param value: work over the work that can be done in time; 1 is just full.
-    """
+class Shedder:
+    """Shares of fresh work that this node admits for the sake of one service."""
 
-    value: float
+    def __init__(self) -> None:
+        self._demand: dict[int, float] = {}
+        self._fresh: dict[int, float] = {}
+        self._admitted: dict[int, float] = {}
+        self._credit: dict[int, float] = {}
+        self._trim = 1.0
 
+    @property
+    def demand(self) -> Demand:
+        """Work a second demanded at this node, by rank."""
+        return self._demand
 
-class ShedLevel:
-    """The share of fresh work that is refused for the sake of one service.
+    @property
+    def trim(self) -> float:
+        """Correction of the capacity by what the service's use shows."""
+        return self._trim
 
-    The level is between 0 and ``RANKS``. Each whole unit refuses all of one rank,
-    beginning with the least important; the rest is the refused share of the next.
-    """
+    @property
+    def admitted(self) -> Mapping[int, float]:
+        """Shares that are admitted by rank, of the ranks that are limited."""
+        return self._admitted
 
-    def __init__(self) -> None:
-        self._level = 0.0
+    def admit(self, rank: int, work: float) -> bool:
+        """Counts one fresh request as demand and decides on it.
 
-    @property
-    def level(self) -> float:
-        """The present level."""
-        return self._level
-
-    def update(self, pressure: float, passed_s: float) -> None:
-        """Takes the pressure of the last moments into account."""
-        excess = pressure - TARGET_PRESSURE
-        if excess > 0:
-            step = RISE_PER_S * min(MAX_RISE, excess)
-        else:
-            step = FALL_PER_S * max(-1.0, excess)
-        self._level = min(float(RANKS), max(0.0, self._level + step * passed_s))
+        :param work: calls that it makes at the service, itself included.
+        """
+        self._fresh[rank] = self._fresh.get(rank, 0.0) + work
+        share = self._admitted.get(rank, 1.0)
+        if share >= 1.0:
+            return True
+        credit = min(1.0, self._credit.get(rank, 0.0)) + share
+        admitted = credit >= 1.0
+        self._credit[rank] = credit - 1.0 if admitted else credit
+        return admitted
 
-    def compute_refused_share(self, rank: int, lowest_rank: int) -> float:
-        """Computes the share to refuse of requests of a rank.
+    def update(
+        self, passed_s: float, capacity: float, use: float, others: Iterable[Demand]
+    ) -> None:
+        """Computes the shares anew.
 
-        :param lowest_rank: rank of the least important requests that there are.
+        :param capacity: requests a second that the service can run.
+        :param use: arriving work over the work that can be done, lately.
+        :param others: work a second demanded at the other nodes, by rank.
         """
-        return min(1.0, max(0.0, self._level - (lowest_rank - rank)))
+        if passed_s <= 0:
+            return
+        self._roll_demand(passed_s)
+        if use > HIGH_USE:
+            step = -TRIM_FALL_PER_S * min(1.0, use - HIGH_USE)
+        else:
+            step = TRIM_RISE_PER_S * (1.0 if use < TARGET_USE else 0.25)
+        self._trim = min(MAX_TRIM, max(MIN_TRIM, self._trim + step * passed_s))
+        total = dict(self._demand)
+        for demand in others:
+            for rank, rate in demand.items():
+                total[rank] = total.get(rank, 0.0) + rate
+        allowed = capacity * TARGET_USE * self._trim
+        self._admitted = compute_admitted_shares(total, allowed)
+
+    def _roll_demand(self, passed_s: float) -> None:
+        weight = min(1.0, passed_s / DEMAND_MEMORY_S)
+        for rank in {*self._demand, *self._fresh}:
+            before = self._demand.get(rank, 0.0)
+            rate = self._fresh.get(rank, 0.0) / passed_s
+            self._demand[rank] = before + weight * (rate - before)
+        self._fresh.clear()
+
+
+def compute_admitted_shares(total: Demand, allowed: float) -> dict[int, float]:
+    """Computes the share of each rank that fits, the most important first.
+
+    :param total: work a second demanded by rank.
+    :param allowed: work a second that can be done.
+    """
+    shares = {}
+    left = allowed
+    for rank in sorted(total):
+        demand = total[rank]
+        granted = min(demand, left)
+        left -= granted
+        if granted < demand:
+            shares[rank] = granted / demand
+    return shares
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/local.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/local.py
@@ -166,7 +166,8 @@
             return
         self._number += 1
         run.number = self._number
-        self.running.add(run.number, ticket.route, run.ends_at)
+        parent = chains.Parent(ticket.route, ticket.rank)
+        self.running.add(run.number, parent, ticket.request_id, run.ends_at)
         self._graph.count_run(ticket.route)
         names = self._pool.headers
         message = b"%b%b: %d\r\n%b: %b\r\n\r\n%b" % (
@@ -211,7 +212,7 @@
         if not run.running:
             return
         run.running = False
-        self.running.remove(run.number, run.ends_at)
+        self.running.remove(run.number, run.ticket.request_id, run.ends_at)
         self.queue.finish(service_s)
         now = self._loop.time()
         ready, expired = self.queue.take_next(now)
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/queue.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/queue.py
@@ -14,8 +14,8 @@
 INITIAL_SERVICE_S = 0.03
 WAIT_SHARE = 0.5
 MIN_WAIT_S = 0.02
-PRESSURE_WAIT_S = 0.03
-PRESSURE_WEIGHT = 0.2
+USE_MEMORY_S = 0.3
+MAX_USE = 4.0
 
 
 class Waiting(NamedTuple):
@@ -43,8 +43,8 @@
         self._gone: set[int] = set()
         self._service_s = INITIAL_SERVICE_S
         self._number = 0
-        self._pressure = 0.0
-        self._turned_away = 0
+        self._use = 0.0
+        self._refused = 0
         self._arrived = 0
 
     @property
@@ -73,9 +73,9 @@
         return self._service_s
 
     @property
-    def pressure(self) -> float:
-        """Load over what can be done in time; above 1 work should be kept away."""
-        return self._pressure
+    def use(self) -> float:
+        """Arriving work over the work that can be done, in the last moments."""
+        return self._use
 
     def set_slots(self, slots: int) -> None:
         """Sets the slots that the endpoint announced."""
@@ -112,7 +112,7 @@
             return True, None
         budget = compute_wait_budget_s(left_s, target_s, self._service_s, call)
         if self.estimate_wait_s(call) > budget:
-            self._turned_away += 1
+            self._refused += 1
             return False, None
         self._number += 1
         waiting = Waiting(0 if call else 1, rank, self._number, now + budget, entry)
@@ -141,7 +141,7 @@
             if waiting.number in self._gone:
                 self._gone.discard(waiting.number)
             elif waiting.expires_at < now:
-                self._turned_away += 1
+                self._refused += 1
                 expired.append(waiting.entry)
             else:
                 self._running += 1
@@ -154,7 +154,7 @@
         if not expired:
             return []
         late = [w.entry for w in expired if w.number not in self._gone]
-        self._turned_away += len(late)
+        self._refused += len(late)
         for waiting in expired:
             self._gone.discard(waiting.number)
         self._heap = [w for w in self._heap if w.expires_at >= now]
@@ -168,17 +168,22 @@
         self._gone.clear()
         return entries
 
-    def update_pressure(self) -> float:
-        """Folds the load of the last interval into the pressure."""
+    def update_use(self, passed_s: float) -> None:
+        """Folds the arrivals of the last interval into the use."""
+        if passed_s <= 0:
+            return
         limit = max(1, self._limit)
-        use = self._running / limit
-        wait = self.estimate_wait_s(call=False) / PRESSURE_WAIT_S
-        refused = self._turned_away / self._arrived if self._arrived else 0.0
-        self._turned_away = 0
+        arriving = self._arrived / passed_s * self._service_s / limit
+        held = self.load / limit
         self._arrived = 0
-        seen = use * 0.95 + wait + 2.0 * refused
-        self._pressure += PRESSURE_WEIGHT * (seen - self._pressure)
-        return self._pressure
+        seen = min(MAX_USE, max(arriving, held))
+        weight = min(1.0, passed_s / USE_MEMORY_S)
+        self._use += weight * (seen - self._use)
+
+    def take_refused(self) -> int:
+        """Takes the number of refusals since the last call."""
+        refused, self._refused = self._refused, 0
+        return refused
 
     def _count_calls(self) -> int:
         return sum(1 for waiting in self._heap if waiting.call_order == 0)
