--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
@@ -270,6 +270,11 @@
         self.closing = False
         self._server: asyncio.Server | None = None
 
+    @property
+    def port(self) -> int:
+        """The port that it listens on."""
+        return self._server.sockets[0].getsockname()[1]
+
     async def listen(self, address: str, backlog: int = 1024) -> None:
         """Starts to listen."""
         host, _, port = address.rpartition(":")
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/budget_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/budget_test.py
@@ -9,6 +9,8 @@
 
 
 class TestRetryBudget:
+    """Repeats in a window."""
+
     def test_new_node_has_nothing(self) -> None:
         assert not budget.RetryBudget(RATIO, WINDOW_S).allows(5.0, 1.0, call=False)
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/chains_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/chains_test.py
@@ -6,6 +6,8 @@
 
 
 class TestRunningRequests:
+    """Calls of running requests."""
+
     def test_call_extends_the_identity_of_its_parent(self) -> None:
         running = chains.RunningRequests()
         parent = running.add("lookup", 2, b"aa11", 10.0)
@@ -29,6 +31,8 @@
 
 
 class TestCallGraph:
+    """Calls by route."""
+
     def learn(self) -> chains.CallGraph:
         """A lookup makes two reads, each of them four notes."""
         graph = chains.CallGraph()
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/placement_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/placement_test.py
@@ -14,6 +14,8 @@
 
 
 class TestChoose:
+    """One choice."""
+
     def test_nothing_to_choose(self) -> None:
         assert placement.choose([], random.Random(1)) is None
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/routes_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/routes_test.py
@@ -23,6 +23,8 @@
 
 
 class TestFind:
+    """The longest prefix that begins the path."""
+
     def test_longest_prefix_wins(self) -> None:
         table = make_table(make_route("/"), make_route("/a/"), make_route("/a/b/"))
         assert table.find("a.example", "/a/b/c").prefix == "/a/b/"
@@ -41,6 +43,8 @@
 
 
 class TestSplitter:
+    """Shares of destinations."""
+
     def test_shares_hold_within_few_requests(self) -> None:
         table = make_table(make_route("/a/", "a.example", ("x", 90.0), ("y", 10.0)))
         route = table.find("a.example", "/a/")
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/shedding_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/shedding_test.py
@@ -10,6 +10,8 @@
 
 
 class TestShares:
+    """Shares by rank."""
+
     def test_all_fits(self) -> None:
         assert shedding.compute_admitted_shares({0: 10.0, 2: 50.0}, 100.0) == {}
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/presence_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/presence_test.py
@@ -33,6 +33,8 @@
 
 
 class TestOrder:
+    """What goes first."""
+
     def test_nothing_is_accepted_before_the_first(self) -> None:
         assert not make_presence().is_accepting(0.0)
 
@@ -66,6 +68,8 @@
 
 
 class TestForeign:
+    """Announcements of others."""
+
     def test_another_service_is_ignored(self) -> None:
         own = make_presence(say(1))
         assert not own.take(0.0, say(2, service="shop", instance="i-9", born_ms=9000))
@@ -73,6 +77,8 @@
 
 
 class TestSilence:
+    """An endpoint that says nothing."""
+
     def test_silent_endpoint_gets_nothing(self) -> None:
         own = make_presence(say(1))
         assert own.is_accepting(2 * HEARTBEAT_S)
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/queue_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/queue_test.py
@@ -26,6 +26,8 @@
 
 
 class TestSlots:
+    """Slots of the endpoint."""
+
     def test_never_more_than_the_endpoint_runs(self) -> None:
         own = make_queue(4)
         ran = [offer(own, str(number))[0] for number in range(10)]
@@ -42,6 +44,8 @@
 
 
 class TestOrder:
+    """What goes first."""
+
     def test_calls_first_then_rank_then_arrival(self) -> None:
         own = make_queue(2)
         offer(own, "runs")
@@ -67,6 +71,8 @@
 
 
 class TestTime:
+    """Waiting is bounded by time."""
+
     def test_refused_at_once_if_it_cannot_be_in_time(self) -> None:
         own = make_queue(2)
         offer(own, "runs")
@@ -89,6 +95,8 @@
 
 
 class TestUse:
+    """Use of the endpoint."""
+
     def test_arrivals_above_the_capacity_show(self) -> None:
         own = make_queue(4)
         for _ in range(20):
