--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarding.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarding.py
@@ -57,6 +57,7 @@
         "expires_at",
         "forwarder",
         "head",
+        "last_reason",
         "placed",
         "rank",
         "replaced",
@@ -86,6 +87,7 @@
         self.arrived = request.arrived
         self.expires_at = 0.0
         self.attempts = 1
+        self.last_reason = data.RefusalReason.NO_ENDPOINT
         self.sent = 0
         self.replaced = 0
         self.unknown = False
@@ -250,9 +252,7 @@
             self._iter_candidates(pending.service, pending.tried, now), self._rng
         )
         if chosen is None:
-            replaced = bool(pending.tried)
-            reason = data.RefusalReason
-            self._fail(pending, reason.OVERLOADED if replaced else reason.NO_ENDPOINT)
+            self._fail(pending, pending.last_reason)
             return
         pending.tried.add(chosen.node)
         route = pending.route
@@ -321,6 +321,7 @@
     def _settle(self, pending: Pending, node: str, result: local.Result) -> None:
         now = self._loop.time()
         outcome = result.outcome
+        pending.last_reason = result.reason or pending.last_reason
         if outcome is data.Outcome.ANSWERED:
             self._answer(pending, node, result, now)
             return
