--- a/packages/catkintiller-relay/src/catkintiller_relay/data.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/data.py
@@ -201,6 +201,7 @@
     CONNECTION_LOST = "connection_lost"
     NODE_LOST = "node_lost"
     CANCELLED = "cancelled"
+    STOPPING = "stopping"
 
 
 class Outcome(enum.IntEnum):
--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
@@ -78,6 +78,7 @@
         self._building: Request | None = None
         self._receiving = False
         self._paused = False
+        self._poisoned = False
         self.began = 0.0
         self.idle_since = 0.0
         self.pending: Any = None
@@ -110,7 +111,7 @@
 
     def data_received(self, received: bytes) -> None:
         """Parses what came."""
-        if self._closing:
+        if self._closing or self._poisoned:
             return
         if not self._receiving:
             self._receiving = True
@@ -178,7 +179,7 @@
         request, self._building = self._building, None
         self._receiving = False
         self._size = 0
-        if request is None or self._closing:
+        if request is None or self._closing or self._poisoned:
             return
         if self._body:
             request.body = b"".join(self._body)
@@ -200,7 +201,8 @@
         self.pending = None
         if self._transport is None or request is None:
             return
-        last = close or not request.keep_alive or self._server.closing
+        ending = self._server.closing or (self._poisoned and not self._queue)
+        last = close or not request.keep_alive or ending
         end = b"Connection: close\r\n\r\n" if last else b"\r\n"
         self._transport.write(b"".join((head, end, body)))
         self.idle_since = self._server.loop.time()
@@ -224,15 +226,12 @@
         """Answers what is no proper request, and ends the connection."""
         if self._closing:
             return
-        self._closing = True
-        pending, self.pending = self.pending, None
         self._server.note_bad(status)
         if self._busy is not None:
-            # The answer that comes next on this connection is due to another.
-            if pending is not None:
-                pending.cancel()
-            self._transport.abort()
+            # The request before it gets its answer; nothing more is read.
+            self._poisoned = True
             return
+        self._closing = True
         head = make_head(status, 0, b"Connection: close\r\n")
         self._transport.write(head + b"\r\n")
         self._transport.close()
@@ -295,6 +294,11 @@
             elif now - connection.idle_since > idle_s:
                 connection.close_idle()
 
+    def close_idle(self) -> None:
+        """Ends the connections on which nothing waits for an answer."""
+        for connection in list(self.connections):
+            connection.close_idle()
+
     def stop_listening(self) -> None:
         """Takes no new connections."""
         if self._server is not None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1_test.py
@@ -11,13 +11,23 @@
 BOUND_S = 5.0
 
 
-def talk(*sent: bytes, limits: data.ClientLimits = LIMITS) -> tuple[bytes, list]:
+def talk(
+    *sent: bytes, limits: data.ClientLimits = LIMITS, answer_after_s: float = 0.0
+) -> tuple[bytes, list]:
     """Sends bytes to a server that answers with what it got."""
     requests: list[http1.Request] = []
 
     def handle(connection: http1.ServerConnection, request: http1.Request) -> None:
         requests.append(request)
-        connection.reply_status(200, body=request.target + b"|" + request.body)
+        body = request.target + b"|" + request.body
+
+        def answer() -> None:
+            connection.reply_status(200, body=body)
+
+        if answer_after_s:
+            asyncio.get_running_loop().call_later(answer_after_s, answer)
+        else:
+            answer()
 
     async def run() -> bytes:
         loop = asyncio.get_running_loop()
@@ -29,7 +39,10 @@
             writer.write(part)
             await writer.drain()
             await asyncio.sleep(0.01)
-        writer.write_eof()
+        if answer_after_s:
+            await asyncio.sleep(2 * answer_after_s)
+        else:
+            writer.write_eof()
         answer = await reader.read()
         writer.close()
         server.stop_listening()
@@ -97,6 +110,18 @@
         assert answer.startswith(b"HTTP/1.1 400")
         assert requests == []
 
+    def test_request_before_a_bad_message_gets_its_answer(self) -> None:
+        good = b"GET /good HTTP/1.1\r\nHost: x\r\n\r\n"
+        answer, requests = talk(good + b"nonsense\r\n\r\n")
+        assert b"/good|" in answer
+        assert [request.target for request in requests] == [b"/good"]
+
+    def test_slow_answer_goes_out_before_the_connection_ends(self) -> None:
+        good = b"GET /good HTTP/1.1\r\nHost: x\r\n\r\n"
+        answer, _ = talk(good + b"nonsense\r\n\r\n", answer_after_s=0.05)
+        assert b"/good|" in answer
+        assert count_answers(answer) == 1
+
     def test_long_head(self) -> None:
         answer, requests = talk(
             b"GET / HTTP/1.1\r\nHost: x\r\nA: " + b"a" * 3000 + b"\r\n\r\n"
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -22,13 +22,17 @@
 EDGE_CHANGE = 0.1
 EDGES_AGAIN_EVERY_S = 5.0
 ENTRY_EVERY_S = 10.0
+MAX_ENDED = 8
+ENDED_WRITE_S = 0.4
 CONFIG_WAIT_S = 20.0
 STORE_PAUSE_S = 0.2
 STORE_MAX_PAUSE_S = 1.0
 NODES_EVERY_S = 20.0
 NODES_SECOND_LOOK_S = 0.5
 STOP_SETTLE_S = 3.3
-STOP_MARGIN_S = 0.7
+STOP_REFUSE_S = 0.4
+STOP_MARGIN_S = 0.6
+FLUSH_S = 0.15
 PEER_CONFIG_DELAY_S = 0.3
 FORGET_PEER_S = 30.0
 
@@ -39,6 +43,7 @@
     """What a node keeps in the store about itself.
 
     :param edges: calls by route that it counted, for nodes that start anew.
+    :param ended: endpoints that told it that they leave, with their births.
     """
 
     address: str
@@ -46,6 +51,7 @@
     service: str
     boot: str
     edges: tuple[chains.Edge, ...] = ()
+    ended: tuple[tuple[str, int], ...] = ()
 
 
 class Node(links.LinkObserver):
@@ -70,6 +76,7 @@
         self._boot = secrets.token_hex(6)
         self._config: data.Config | None = None
         self._peers: dict[str, links.Peer] = {}
+        self._ended: dict[str, int] = {}
         self._counted: tuple[chains.Edge, ...] = ()
         self._edges_to_tell: tuple[chains.Edge, ...] = ()
         self._edges_told_at = 0.0
@@ -216,7 +223,34 @@
         before = self._presence.current
         taken = self._presence.take(self._loop.time(), said)
         self._note_announcement(before, said, taken)
-        connection.reply_status(200, b"Content-Type: application/json\r\n", b"{}")
+        if taken and said.state is not data.EndpointState.READY:
+            self._loop.create_task(self._keep_ended(connection, said))
+            return
+        acknowledge(connection)
+
+    async def _keep_ended(
+        self, connection: http1.ServerConnection, said: data.Announcement
+    ) -> None:
+        """Keeps in the store that an endpoint leaves, then acknowledges it.
+
+        A node that starts again would otherwise trust a late announcement. The
+        acknowledgement does not wait for long: this node itself is bound already.
+        """
+        current = self._presence.current
+        born_ms = current.born_ms if current else said.born_ms
+        if said.instance not in self._ended:
+            self._ended[said.instance] = max(born_ms, said.born_ms)
+            try:
+                await asyncio.wait_for(self._write_entry(), ENDED_WRITE_S)
+            except (TimeoutError, data.StoreError) as error:
+                self._log.write("announce", "Not kept in the store.", why=str(error))
+        acknowledge(connection)
+
+    def _take_ended(self, entry: NodeEntry) -> None:
+        for instance, born_ms in entry.ended:
+            if instance not in self._ended:
+                self._ended[instance] = born_ms
+                self._presence.add_ended(instance, born_ms)
 
     def _note_announcement(
         self, before: data.Announcement | None, said: data.Announcement, taken: bool
@@ -267,6 +301,7 @@
                 pause = min(STORE_MAX_PAUSE_S, 2 * pause)
 
     async def _follow_nodes(self) -> None:
+        self._take_nodes(await self._retry_store(self._store.read_nodes))
         await self._retry_store(self._write_entry)
         read_at = 0.0
         while True:
@@ -286,6 +321,7 @@
             self._settings.service,
             self._boot,
             self._counted,
+            tuple(self._ended.items())[-MAX_ENDED:],
         )
         value = msgspec.msgpack.encode(entry)
         await self._store.write_node(self._settings.node, value)
@@ -313,6 +349,8 @@
                 self._log.write("peer", "Entry not readable.", why=str(error))
                 continue
             self._learn(list(entry.edges))
+            if record.key == self._settings.node:
+                self._take_ended(entry)
             self._add_peer(entry.address, entry.zone)
 
     def _add_peer(self, address: str, zone: str) -> None:
@@ -446,10 +484,20 @@
             busy = self._forwarder.pending or self._local.queue.load
             if now >= last or (now >= settle and not busy):
                 break
+            if now >= settle - STOP_REFUSE_S:
+                self._forwarder.stopping = True
             if now >= settle:
                 self._outbound.closing = True
             await asyncio.sleep(TICK_S)
+        self._outbound.stop_listening()
+        self._outbound.close_idle()
+        await asyncio.sleep(FLUSH_S)
         self._log.write("node", "Stopped.", pending=self._forwarder.pending)
         self._log.flush()
         for task in self._tasks:
             task.cancel()
+
+
+def acknowledge(connection: http1.ServerConnection) -> None:
+    """Acknowledges an announcement."""
+    connection.reply_status(200, b"Content-Type: application/json\r\n", b"{}")
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarding.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarding.py
@@ -138,6 +138,7 @@
         self._own = frozenset((headers.caller, headers.deadline, headers.target))
         self._pending = 0
         self._held_bytes = 0
+        self.stopping = False
 
     @property
     def pending(self) -> int:
@@ -224,6 +225,9 @@
         if self._pending > MAX_PENDING or self._held_bytes > MAX_HELD_BYTES:
             self._refuse(pending, data.RefusalReason.NO_MEMORY)
             return
+        if self.stopping and not pending.call:
+            self._refuse(pending, data.RefusalReason.STOPPING)
+            return
         if not pending.call and not self._is_admitted(route, pending.service):
             self._refuse(pending, data.RefusalReason.CHAIN_OVERLOADED)
             return
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/exchange.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/exchange.py
@@ -5,12 +5,13 @@
 
 import httptools
 
-from .. import data
+from .. import data, sockets
 
 IDLE_S = 4.0
 KEEP_ALIVE_MARGIN_S = 1.5
 CONNECT_TIMEOUT_S = 1.0
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MISDIRECTED = 421
 
 _DROPPED = frozenset(
     (
@@ -89,6 +90,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Keeps the transport."""
         self._transport = transport
+        sockets.probe_when_idle(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the request that waits; a body without length may end so."""
@@ -182,7 +184,8 @@
             found[lowered] = value
             if lowered not in _DROPPED:
                 kept.append(b"%b: %b\r\n" % (name, value))
-        not_run = names.not_run in found
+        status = self._parser.get_status_code()
+        not_run = names.not_run in found or status == MISDIRECTED
         if found.get(names.request_id) != exchange.request_id and not (
             not_run and names.request_id not in found
         ):
@@ -194,7 +197,6 @@
             return
         self._exchange = None
         exchange.connection = None
-        status = self._parser.get_status_code()
         self._settle_idle(found, reusable)
         if not_run:
             reason = data.RefusalReason.ENDPOINT_REFUSED
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/exchange_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/exchange_test.py
@@ -188,6 +188,11 @@
         assert seen.outcome is data.Outcome.NOT_RUN
         assert seen.reason is data.RefusalReason.ENDPOINT_REFUSED
 
+    def test_another_endpoint_has_the_address(self) -> None:
+        wrong = b"HTTP/1.1 421 Wrong\r\nX-Who: i-9\r\nContent-Length: 0\r\n\r\n"
+        (seen,), _ = play(answering(wrong))
+        assert (seen.outcome, seen.status) == (data.Outcome.NOT_RUN, 421)
+
     def test_nobody_listens(self) -> None:
         async def run() -> Seen:
             loop = asyncio.get_running_loop()
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/local.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/local.py
@@ -199,6 +199,8 @@
     ) -> None:
         worked = self._loop.time() - run.started
         counted = worked if outcome is data.Outcome.ANSWERED else None
+        if status == exchange.MISDIRECTED:
+            self._presence.doubt()
         if counted is not None and status < 300:
             self._graph.count_run(run.parent)
         self._free(run, counted)
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/presence.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/presence.py
@@ -58,6 +58,19 @@
             return False
         return now - self._heard_at <= self._silent_s
 
+    def doubt(self) -> None:
+        """Hears that another endpoint has the address; waits for an announcement."""
+        self._heard_at = float("-inf")
+
+    def add_ended(self, instance: str, born_ms: int) -> None:
+        """Learns that an endpoint had said that it leaves, before this node started."""
+        self._ended[instance] = born_ms
+        current = self._current
+        if current is None or current.instance != instance:
+            return
+        if current.born_ms <= born_ms and current.state is data.EndpointState.READY:
+            self._current = current._replace(state=data.EndpointState.DRAINING)
+
     def _take_leave(self, said: data.Announcement) -> bool:
         current = self._current
         if current is None or current.instance != said.instance:
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/presence_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/presence_test.py
@@ -67,6 +67,38 @@
         assert own.is_accepting(0.0)
 
 
+class TestRestartOfTheNode:
+    """What was acknowledged binds a node that starts again."""
+
+    def test_late_ping_of_an_endpoint_that_left(self) -> None:
+        own = make_presence()
+        own.add_ended("i-1", 1000)
+        assert not own.take(0.0, say(2))
+        assert not own.is_accepting(0.0)
+
+    def test_late_ping_that_came_before_the_store_answered(self) -> None:
+        own = make_presence(say(2))
+        own.add_ended("i-1", 1000)
+        assert not own.is_accepting(0.0)
+
+    def test_next_start_of_the_same_endpoint_is_new(self) -> None:
+        own = make_presence()
+        own.add_ended("i-1", 1000)
+        assert own.take(0.0, say(1, born_ms=2000))
+        assert own.is_accepting(0.0)
+
+
+class TestDoubt:
+    """Another endpoint has the address."""
+
+    def test_nothing_is_sent_until_the_next_announcement(self) -> None:
+        own = make_presence(say(1))
+        own.doubt()
+        assert not own.is_accepting(0.0)
+        own.take(0.0, say(2))
+        assert own.is_accepting(0.0)
+
+
 class TestForeign:
     """Announcements of others."""
 
