Split the node and the forwarder by stage; end the process if a part of it fails

Now a failed part is logged and ends the process. Admission, places, retries, heads, pending requests and the store's follower are modules of their own.

--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -4,14 +4,11 @@
 import random
 import secrets
 import signal
-from typing import NamedTuple
-
-import msgspec
 
 from . import data, edge
 from .ingress import http1
-from .membership import frames, links
-from .routing import chains, forwarding
+from .membership import following, frames, links
+from .routing import chains, forwarding, places
 from .serving import exchange, local, presence
 from .telemetry import events, metrics
 
@@ -21,14 +18,7 @@
 EDGES_EVERY_S = 0.3
 EDGE_CHANGE = 0.1
 EDGES_AGAIN_EVERY_S = 5.0
-ENTRY_EVERY_S = 10.0
-MAX_ENDED = 8
 ENDED_WRITE_S = 0.4
-CONFIG_WAIT_S = 20.0
-STORE_PAUSE_S = 0.2
-STORE_MAX_PAUSE_S = 1.0
-NODES_EVERY_S = 20.0
-NODES_SECOND_LOOK_S = 0.5
 STOP_SETTLE_S = 3.3
 STOP_REFUSE_S = 0.4
 STOP_MARGIN_S = 0.6
@@ -39,21 +29,6 @@
 DEFAULT_LIMITS = data.ClientLimits(16384, 64 * 1024 * 1024, 3.0, 15.0)
 
 
-class NodeEntry(NamedTuple):
-    """What a node keeps in the store about itself.
-
-    :param edges: calls by route that it counted, for nodes that start anew.
-    :param ended: endpoints that told it that they leave, with their births.
-    """
-
-    address: str
-    zone: str
-    service: str
-    boot: str
-    edges: tuple[chains.Edge, ...] = ()
-    ended: tuple[tuple[str, int], ...] = ()
-
-
 class Node(links.LinkObserver):
     """The process beside one endpoint.
 
@@ -76,18 +51,23 @@
         self._boot = secrets.token_hex(6)
         self._config: data.Config | None = None
         self._peers: dict[str, links.Peer] = {}
-        self._ended: dict[str, int] = {}
-        self._counted: tuple[chains.Edge, ...] = ()
         self._edges_to_tell: tuple[chains.Edge, ...] = ()
         self._edges_told_at = 0.0
-        self._written_edges: set[tuple[str, str, str]] = set()
-        self._listed = False
         self._stopping = asyncio.Event()
         self._stop_at = 0.0
         self._tasks: list[asyncio.Task] = []
-        self._store_lost = False
+        self._failure: BaseException | None = None
         self.metrics = metrics.Metrics()
-        self._store = platform.make_store(settings.store, loop)
+        self._follower = following.StoreFollower(
+            platform.make_store(settings.store, loop),
+            settings,
+            self._boot,
+            log,
+            self._rng,
+            self._use_config,
+            self._take_entry,
+            lambda: bool(self._peers),
+        )
         self._presence = presence.Presence(settings.service, settings.heartbeat_s)
         self._graph = chains.CallGraph()
         headers = platform.headers
@@ -100,7 +80,7 @@
             settings,
             headers,
             self._local,
-            self._peers,
+            places.Places(settings, self._local, self._peers),
             self._graph,
             log,
             self.metrics,
@@ -118,7 +98,11 @@
     @property
     def ready(self) -> bool:
         """Whether clients may send requests."""
-        return self._config is not None and self._listed and not self._local.stopping
+        return (
+            self._config is not None
+            and self._follower.listed
+            and not self._local.stopping
+        )
 
     async def run(self) -> None:
         """Serves until it is told to stop."""
@@ -133,13 +117,25 @@
         await self._ready.listen(settings.readiness)
         await self._figures.listen(settings.metrics)
         self._tasks = [
-            self._loop.create_task(self._follow_config()),
-            self._loop.create_task(self._follow_nodes()),
+            self._loop.create_task(self._follower.follow_config()),
+            self._loop.create_task(self._follower.follow_nodes()),
             self._loop.create_task(self._tick_forever()),
         ]
+        for task in self._tasks:
+            task.add_done_callback(self._note_end)
         await self._stopping.wait()
+        if self._failure is not None:
+            raise self._failure
         await self._wind_down()
 
+    def _note_end(self, task: asyncio.Task) -> None:
+        """Ends the process if a part of it has failed; the platform restarts it."""
+        if task.cancelled() or task.exception() is None:
+            return
+        self._failure = task.exception()
+        self._log.write("node", "A part failed.", why=repr(self._failure))
+        self._stopping.set()
+
     def receive_state(self, peer: links.Peer, state: frames.State) -> None:
         """Takes the state of another node."""
         if state.edges:
@@ -177,7 +173,7 @@
             current is None or current.warmup_s <= 0,
             self._config.version if self._config else 0,
             [tuple(edge) for edge in self._edges_to_tell],
-            self._forwarder.get_demand(),
+            self._forwarder.admission.get_demand(),
         )
 
     def note_peer(self, peer: links.Peer, event: str) -> None:
@@ -238,18 +234,24 @@
         """
         current = self._presence.current
         born_ms = current.born_ms if current else said.born_ms
-        if said.instance not in self._ended:
-            self._ended[said.instance] = max(born_ms, said.born_ms)
+        if said.instance not in self._follower.ended:
+            self._follower.ended[said.instance] = max(born_ms, said.born_ms)
             try:
-                await asyncio.wait_for(self._write_entry(), ENDED_WRITE_S)
+                await asyncio.wait_for(self._follower.write_entry(), ENDED_WRITE_S)
             except (TimeoutError, data.StoreError) as error:
                 self._log.write("announce", "Not kept in the store.", why=str(error))
         acknowledge(connection)
 
-    def _take_ended(self, entry: NodeEntry) -> None:
+    def _take_entry(self, key: str, entry: following.NodeEntry) -> None:
+        self._learn(list(entry.edges))
+        if key == self._settings.node:
+            self._take_ended(entry)
+        self._add_peer(entry.address, entry.zone)
+
+    def _take_ended(self, entry: following.NodeEntry) -> None:
         for instance, born_ms in entry.ended:
-            if instance not in self._ended:
-                self._ended[instance] = born_ms
+            if instance not in self._follower.ended:
+                self._follower.ended[instance] = born_ms
                 self._presence.add_ended(instance, born_ms)
 
     def _note_announcement(
@@ -278,81 +280,6 @@
             self._local.refuse_waiting()
         self._hub.broadcast()
 
-    async def _follow_config(self) -> None:
-        pause = STORE_PAUSE_S
-        offset: int | None = None
-        while True:
-            try:
-                if offset is None:
-                    record = await self._store.read_config()
-                    offset = 0 if record is None else record.offset + 1
-                else:
-                    record = await self._store.wait_config(offset, CONFIG_WAIT_S)
-                if record is not None:
-                    offset = record.offset + 1
-                    self._use_config(record.value, "store")
-                self._note_store(None)
-                pause = STORE_PAUSE_S
-            except data.HistoryDropped:
-                offset = None
-            except data.StoreError as error:
-                self._note_store(error.why)
-                await asyncio.sleep(pause * self._rng.uniform(0.7, 1.3))
-                pause = min(STORE_MAX_PAUSE_S, 2 * pause)
-
-    async def _follow_nodes(self) -> None:
-        self._take_nodes(await self._retry_store(self._store.read_nodes))
-        await self._retry_store(self._write_entry)
-        read_at = 0.0
-        while True:
-            if self._loop.time() >= read_at:
-                self._take_nodes(await self._retry_store(self._store.read_nodes))
-                self._listed = True
-                pause = NODES_EVERY_S * self._rng.uniform(0.8, 1.2)
-                read_at = self._loop.time() + pause
-            await asyncio.sleep(ENTRY_EVERY_S * self._rng.uniform(0.3, 1.0))
-            if {edge[:3] for edge in self._counted} - self._written_edges:
-                await self._retry_store(self._write_entry)
-
-    async def _write_entry(self) -> None:
-        entry = NodeEntry(
-            self._settings.inbound,
-            self._settings.zone,
-            self._settings.service,
-            self._boot,
-            self._counted,
-            tuple(self._ended.items())[-MAX_ENDED:],
-        )
-        value = msgspec.msgpack.encode(entry)
-        await self._store.write_node(self._settings.node, value)
-        self._written_edges |= {edge[:3] for edge in entry.edges}
-
-    async def _retry_store(self, call: object) -> object:
-        pause = STORE_PAUSE_S
-        while True:
-            try:
-                return await call()
-            except data.StoreError as error:
-                self._note_store(error.why)
-                if self._peers:
-                    self._listed = True
-                await asyncio.sleep(pause * self._rng.uniform(0.7, 1.3))
-                pause = min(STORE_MAX_PAUSE_S, 2 * pause)
-
-    def _take_nodes(self, records: list[data.StoreRecord]) -> None:
-        for record in records:
-            if not record.value:
-                continue
-            try:
-                entry = msgspec.msgpack.decode(record.value, type=NodeEntry)
-            except msgspec.MsgspecError as error:
-                self._log.write("peer", "Entry not readable.", why=str(error))
-                continue
-            self._learn(list(entry.edges))
-            if record.key == self._settings.node:
-                self._take_ended(entry)
-            self._add_peer(entry.address, entry.zone)
-
     def _add_peer(self, address: str, zone: str) -> None:
         if address == self._settings.inbound or address in self._peers:
             return
@@ -384,15 +311,6 @@
             source=source,
         )
 
-    def _note_store(self, why: str | None) -> None:
-        if (why is not None) == self._store_lost:
-            return
-        self._store_lost = why is not None
-        if why is None:
-            self._log.write("store", "Reached again.")
-        else:
-            self._log.write("store", "Lost.", why=why)
-
     async def _tick_forever(self) -> None:
         last = self._loop.time()
         state_at = sweep_at = edges_at = last
@@ -402,7 +320,7 @@
             passed, last = now - last, now
             self._local.tick(now)
             self._local.queue.update_use(passed)
-            self._forwarder.update_shares(passed)
+            self._forwarder.admission.update(passed)
             if now >= state_at:
                 state_at = now + STATE_EVERY_S
                 self._hub.broadcast()
@@ -433,14 +351,14 @@
             use=round(queue.use, 2),
             refused=queue.take_refused(),
             pending=self._forwarder.pending,
-            shares=self._forwarder.get_shares(),
+            shares=self._forwarder.admission.get_shares(),
         )
 
     def _refresh_edges(self, now: float) -> None:
         """Tells other nodes, and this one, what was counted here."""
         edges = self._graph.get_local_edges()
-        known = {edge[:3]: edge.calls for edge in self._counted}
-        self._counted = tuple(edges)
+        known = {edge[:3]: edge.calls for edge in self._follower.counted}
+        self._follower.counted = tuple(edges)
         self._local.queue.makes_calls = self._graph.makes_calls()
         changed = any(
             abs(known.get(edge[:3], 0.0) - edge.calls) > EDGE_CHANGE * edge.calls
@@ -449,7 +367,7 @@
         if changed or now - self._edges_told_at > EDGES_AGAIN_EVERY_S:
             self._edges_told_at = now
             self._learn(edges)
-            self._edges_to_tell = self._counted
+            self._edges_to_tell = self._follower.counted
 
     def _tick_peers(self, now: float) -> None:
         for address, peer in list(self._peers.items()):
--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
@@ -0,0 +1,55 @@
+"""Admits fresh work by what its whole chain needs."""
+
+from .. import data
+from . import chains, places, shedding
+
+
+class Admission:
+    """Decides on the fresh requests that arrive at this node."""
+
+    def __init__(self, found: places.Places, graph: chains.CallGraph) -> None:
+        self._places = found
+        self._graph = graph
+        self._shedders: dict[str, shedding.Shedder] = {}
+
+    def update(self, passed_s: float) -> None:
+        """Computes anew how much fresh work is admitted for each service."""
+        told = self._places.get_demands()
+        for service, (capacity, use) in self._places.get_capacities().items():
+            shedder = self._get_shedder(service)
+            shedder.update(passed_s, capacity, use, told.get(service, ()))
+
+    def get_shares(self) -> dict[str, dict[int, float]]:
+        """Gets the admitted shares by service and rank, where they are limited."""
+        return {
+            name: {rank: round(share, 2) for rank, share in shedder.admitted.items()}
+            for name, shedder in self._shedders.items()
+            if shedder.admitted
+        }
+
+    def get_demand(self) -> dict[str, dict[int, int]]:
+        """Gets the work a second demanded at this node, by service and rank."""
+        return {
+            name: {rank: round(rate) for rank, rate in shedder.demand.items()}
+            for name, shedder in self._shedders.items()
+        }
+
+    def admits(self, route: data.Route, service: str) -> bool:
+        """Counts a request as demand and decides whether it is admitted.
+
+        :param service: service that it goes to first.
+        """
+        needs = {service: 1.0}
+        for needed, calls in self._graph.get_reach(route.name).items():
+            needs[needed] = needs.get(needed, 0.0) + calls
+        admitted = True
+        for needed, calls in needs.items():
+            if not self._get_shedder(needed).admit(route.rank, calls):
+                admitted = False
+        return admitted
+
+    def _get_shedder(self, service: str) -> shedding.Shedder:
+        found = self._shedders.get(service)
+        if found is None:
+            found = self._shedders[service] = shedding.Shedder()
+        return found
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarding.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarding.py
@@ -6,108 +6,28 @@
 
 import asyncio
 import random
-from typing import Any
 
 from .. import data
 from ..ingress import http1
-from ..membership import links
+from ..membership import frames
 from ..serving import local
 from ..telemetry import events, metrics
-from . import budget, chains, placement, routes, shedding
+from . import admission, chains, heads, placement, places, retries, routes
+from .pending import Pending
 
-LOCAL = ""
-SAME_ZONE_S = 0.0005
-OTHER_ZONE_S = 0.004
 MAX_REPLACEMENTS = 2
 EXPIRY_MARGIN_S = 0.01
-RETRY_MIN_LEFT_S = 0.05
 NO_CONFIG_RETRY_S = 0.5
 MAX_PENDING = 6000
 MAX_HELD_BYTES = 64 * 1024 * 1024
 
-_HOP_BY_HOP = frozenset(
-    (
-        b"connection",
-        b"content-length",
-        b"expect",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
-
-
-class Pending:
-    """A request that has no answer yet.
-
-    :ivar sent: sendings that may have reached an endpoint.
-    :ivar placed: where it is now, None between two places.
-    """
-
-    __slots__ = (
-        "arrived",
-        "attempts",
-        "call",
-        "connection",
-        "expires_at",
-        "forwarder",
-        "head",
-        "last_reason",
-        "placed",
-        "rank",
-        "replaced",
-        "request",
-        "request_id",
-        "route",
-        "sent",
-        "service",
-        "timer",
-        "tried",
-        "unknown",
-    )
-
-    def __init__(
-        self,
-        forwarder: "Forwarder",
-        connection: http1.ServerConnection,
-        request: http1.Request,
-    ) -> None:
-        self.forwarder = forwarder
-        self.connection = connection
-        self.request = request
-        self.request_id = b""
-        self.route: data.Route | None = None
-        self.service = ""
-        self.head = b""
-        self.arrived = request.arrived
-        self.expires_at = 0.0
-        self.attempts = 1
-        self.last_reason = data.RefusalReason.NO_ENDPOINT
-        self.sent = 0
-        self.replaced = 0
-        self.unknown = False
-        self.call = False
-        self.rank = 0
-        self.tried: set[str] = set()
-        self.placed: tuple[Any, Any] | None = None
-        self.timer: asyncio.TimerHandle | None = None
-
-    def cancel(self) -> None:
-        """The client has left."""
-        self.forwarder.drop(self)
-
 
 class Forwarder:
     """Forwards the requests that arrive at this node.
 
     :param settings: settings of the process.
     :param server: the endpoint beside this node.
-    :param peers: other nodes by address; kept by the node.
+    :param found: endpoints that requests can be sent to.
     """
 
     def __init__(
@@ -116,7 +36,7 @@
         settings: data.Settings,
         headers: data.HeaderNames,
         server: local.LocalServer,
-        peers: dict[str, links.Peer],
+        found: places.Places,
         graph: chains.CallGraph,
         log: events.EventLog,
         figures: metrics.Metrics,
@@ -126,16 +46,16 @@
         self._settings = settings
         self._headers = headers
         self._local = server
-        self._peers = peers
+        self._places = found
+        self.admission = admission.Admission(found, graph)
         self._graph = graph
         self._log = log
         self._metrics = figures
         self._rng = rng
         self._table: routes.RouteTable | None = None
         self._version = 0
-        self._shedders: dict[str, shedding.Shedder] = {}
-        self._budgets: dict[str, budget.RetryBudget] = {}
-        self._own = frozenset((headers.caller, headers.deadline, headers.target))
+        self._heads = heads.HeadMaker(headers, settings.service)
+        self._retries = retries.Retries(settings, graph)
         self._pending = 0
         self._held_bytes = 0
         self.stopping = False
@@ -154,16 +74,14 @@
         self, connection: http1.ServerConnection, request: http1.Request
     ) -> None:
         """Takes a request of a client or of the local endpoint."""
-        pending = Pending(self, connection, request)
+        pending = Pending(self.drop, connection, request)
         connection.pending = pending
         self._pending += 1
         self._held_bytes += len(request.body)
         if self._table is None:
             self._refuse(pending, data.RefusalReason.NO_CONFIG)
             return
-        host = (request.get_header(b"host") or b"").decode("latin-1").lower()
-        path = request.target.decode("latin-1").partition("?")[0]
-        route = self._table.find(host.partition(":")[0], path)
+        route = self._table.find(heads.parse_host(request), heads.parse_path(request))
         if route is None:
             self._finish(pending)
             self._metrics.count("not_found")
@@ -177,38 +95,12 @@
         self._finish(pending)
         self._metrics.count("client_left", f'route="{pending.route.name}"')
 
-    def update_shares(self, passed_s: float) -> None:
-        """Computes anew how much fresh work is admitted for each service."""
-        told: dict[str, list[shedding.Demand]] = {}
-        for peer in self._peers.values():
-            if peer.state is not None and peer.connected:
-                for service, demand in peer.state.demand.items():
-                    told.setdefault(service, []).append(demand)
-        for service, (capacity, use) in self._collect_capacity().items():
-            shedder = self._get_shedder(service)
-            shedder.update(passed_s, capacity, use, told.get(service, ()))
-
-    def get_shares(self) -> dict[str, dict[int, float]]:
-        """Gets the admitted shares by service and rank, where they are limited."""
-        return {
-            name: {rank: round(share, 2) for rank, share in shedder.admitted.items()}
-            for name, shedder in self._shedders.items()
-            if shedder.admitted
-        }
-
-    def get_demand(self) -> dict[str, dict[int, int]]:
-        """Gets the work a second demanded at this node, by service and rank."""
-        return {
-            name: {rank: round(rate) for rank, rate in shedder.demand.items()}
-            for name, shedder in self._shedders.items()
-        }
-
     def _take(self, pending: Pending, route: data.Route) -> None:
         request = pending.request
         now = self._loop.time()
         pending.route = route
         pending.request_id = request.get_header(self._headers.request_id) or b""
-        allowed = parse_deadline_s(request.get_header(self._headers.deadline))
+        allowed = heads.parse_deadline_s(request.get_header(self._headers.deadline))
         left_s = route.timeout_s if allowed is None else allowed
         deadline = pending.arrived + left_s
         timeout = pending.arrived + route.timeout_s
@@ -228,32 +120,17 @@
         if self.stopping and not pending.call:
             self._refuse(pending, data.RefusalReason.STOPPING)
             return
-        if not pending.call and not self._is_admitted(route, pending.service):
+        if not pending.call and not self.admission.admits(route, pending.service):
             self._refuse(pending, data.RefusalReason.CHAIN_OVERLOADED)
             return
-        pending.head = self._make_head(request)
+        pending.head = self._heads.make(request)
         pending.timer = self._loop.call_at(pending.expires_at, self._expire, pending)
-        self._get_budget(pending.service).earn(now)
+        self._retries.count_first(pending.service, now)
         self._place(pending, now)
 
-    def _make_head(self, request: http1.Request) -> bytes:
-        own = self._own
-        named = request.get_header(b"connection")
-        listed = parse_tokens(named) if named else ()
-        lines = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
-        for name, value in request.headers:
-            if name in _HOP_BY_HOP or name in own or name in listed:
-                continue
-            lines.append(b"%b: %b\r\n" % (name, value))
-        caller = self._settings.service.encode()
-        lines.append(b"%b: %b\r\n" % (self._headers.caller, caller))
-        if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
-            lines.append(b"content-length: %d\r\n" % len(request.body))
-        return b"".join(lines)
-
     def _place(self, pending: Pending, now: float) -> None:
         chosen = placement.choose(
-            self._iter_candidates(pending.service, pending.tried, now), self._rng
+            self._places.get_candidates(pending.service, pending.tried, now), self._rng
         )
         if chosen is None:
             self._fail(pending, pending.last_reason)
@@ -276,52 +153,14 @@
             pending.placed = None
             self._settle(pending, chosen.node, result)
 
-        if chosen.node == LOCAL:
+        if chosen.node == places.LOCAL:
             run = self._local.submit(ticket, done)
             if run.done is not None:
                 pending.placed = (None, run)
         else:
-            peer = self._peers[chosen.node]
+            peer = self._places.get_peer(chosen.node)
             pending.placed = peer.submit(ticket, done)
 
-    def _iter_candidates(
-        self, service: str, tried: set[str], now: float
-    ) -> list[placement.Candidate]:
-        found = []
-        if (
-            service == self._settings.service
-            and LOCAL not in tried
-            and self._local.accepting
-        ):
-            queue = self._local.queue
-            found.append(
-                placement.Candidate(
-                    LOCAL, queue.load, queue.limit, queue.service_s, 0.0, 0.0
-                )
-            )
-        zone = self._settings.zone
-        for address, peer in self._peers.items():
-            state = peer.state
-            if (
-                state is None
-                or state.service != service
-                or not peer.accepting
-                or address in tried
-            ):
-                continue
-            distance = SAME_ZONE_S if peer.zone == zone else OTHER_ZONE_S
-            found.append(
-                placement.Candidate(
-                    address,
-                    peer.load + peer.sent_since,
-                    state.limit,
-                    peer.service_s,
-                    distance,
-                    peer.get_failures(now),
-                )
-            )
-        return found
-
     def _settle(self, pending: Pending, node: str, result: local.Result) -> None:
         now = self._loop.time()
         outcome = result.outcome
@@ -333,7 +172,7 @@
             outcome is data.Outcome.UNKNOWN
             or result.reason is data.RefusalReason.ENDPOINT_REFUSED
         )
-        peer = self._peers.get(node)
+        peer = self._places.get_peer(node)
         if arrived:
             pending.sent += 1
             if peer is not None:
@@ -346,11 +185,7 @@
                 return
             pending.unknown = True
         if arrived:
-            may = (
-                pending.sent < pending.attempts
-                and pending.expires_at - now > RETRY_MIN_LEFT_S
-                and self._spend(pending, now)
-            )
+            may = self._retries.allows(pending, now)
         else:
             pending.replaced += 1
             may = pending.replaced <= MAX_REPLACEMENTS
@@ -368,7 +203,7 @@
         self._metrics.record_s("answer", f'route="{route}"', took)
         self._metrics.count("answers", f'route="{route}",status="{result.status}"')
         failure = result.status >= 500
-        if failure and (peer := self._peers.get(node)) is not None:
+        if failure and (peer := self._places.get_peer(node)) is not None:
             peer.add_failure(now, 0.1)
         if self._log.allows("route", failure=failure):
             self._log.write(
@@ -428,7 +263,7 @@
         if connection is None:
             self._local.cancel(item)
         elif connection.waiting.pop(item, None) is not None:
-            connection.send(links.frames.Cancel(item))
+            connection.send(frames.Cancel(item))
 
     def _finish(self, pending: Pending) -> None:
         self._pending -= 1
@@ -459,7 +294,7 @@
                 ms=round((self._loop.time() - pending.arrived) * 1000, 1),
                 call=pending.call,
                 version=self._version,
-                shares=self.get_shares(),
+                shares=self.admission.get_shares(),
             )
 
     def _log_failure(self, pending: Pending, node: str, result: local.Result) -> None:
@@ -476,66 +311,3 @@
                 outcome=result.outcome.name.lower(),
                 reason=why,
             )
-
-    def _is_admitted(self, route: data.Route, service: str) -> bool:
-        needs = {service: 1.0}
-        for needed, calls in self._graph.get_reach(route.name).items():
-            needs[needed] = needs.get(needed, 0.0) + calls
-        admitted = True
-        for needed, calls in needs.items():
-            if not self._get_shedder(needed).admit(route.rank, calls):
-                admitted = False
-        return admitted
-
-    def _get_shedder(self, service: str) -> shedding.Shedder:
-        found = self._shedders.get(service)
-        if found is None:
-            found = self._shedders[service] = shedding.Shedder()
-        return found
-
-    def _spend(self, pending: Pending, now: float) -> bool:
-        costs = dict(self._graph.get_reach(pending.route.name))
-        costs[pending.service] = costs.get(pending.service, 0.0) + 1.0
-        budgets = {name: self._get_budget(name) for name in costs}
-        for name, cost in costs.items():
-            if not budgets[name].allows(now, cost, call=pending.call):
-                return False
-        for name, cost in costs.items():
-            budgets[name].spend(now, cost)
-        return True
-
-    def _get_budget(self, service: str) -> budget.RetryBudget:
-        found = self._budgets.get(service)
-        if found is None:
-            settings = self._settings
-            found = budget.RetryBudget(settings.retry_ratio, settings.retry_window_s)
-            self._budgets[service] = found
-        return found
-
-    def _collect_capacity(self) -> dict[str, tuple[float, float]]:
-        """Collects requests a second and present use by service."""
-        sums: dict[str, tuple[float, float]] = {}
-        if self._local.accepting:
-            queue = self._local.queue
-            capacity = queue.capacity
-            sums[self._settings.service] = (capacity, queue.use * capacity)
-        for peer in self._peers.values():
-            state = peer.state
-            if state is None or not peer.accepting:
-                continue
-            capacity = max(1.0, state.capacity)
-            total, work = sums.get(state.service, (0.0, 0.0))
-            sums[state.service] = (total + capacity, work + state.use * capacity)
-        return {name: (total, work / total) for name, (total, work) in sums.items()}
-
-
-def parse_deadline_s(value: bytes | None) -> float | None:
-    """Parses how long the sender waits; None if it does not say."""
-    if value is None or not value.isdigit() or len(value) > 9:
-        return None
-    return int(value) / 1000
-
-
-def parse_tokens(value: bytes) -> tuple[bytes, ...]:
-    """Parses the header names that a Connection header lists."""
-    return tuple(token.strip().lower() for token in value.split(b","))
--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/heads.py
@@ -0,0 +1,71 @@
+"""What is read from the head of a request, and the head that is sent on."""
+
+from .. import data
+from ..ingress import http1
+
+METHODS_WITHOUT_BODY = (b"GET", b"HEAD", b"DELETE")
+
+_HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+
+
+class HeadMaker:
+    """Makes the heads of requests that are sent on.
+
+    :param headers: names of the headers that the node sets itself.
+    :param service: service of this VM's endpoint.
+    """
+
+    def __init__(self, headers: data.HeaderNames, service: str) -> None:
+        self._own = frozenset((headers.caller, headers.deadline, headers.target))
+        self._caller = b"%b: %b\r\n" % (headers.caller, service.encode())
+
+    def make(self, request: http1.Request) -> bytes:
+        """Makes a head without the lines that the serving node adds."""
+        named = request.get_header(b"connection")
+        listed = parse_tokens(named) if named else ()
+        lines = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
+        for name, value in request.headers:
+            if name in _HOP_BY_HOP or name in self._own or name in listed:
+                continue
+            lines.append(b"%b: %b\r\n" % (name, value))
+        lines.append(self._caller)
+        if request.body or request.method not in METHODS_WITHOUT_BODY:
+            lines.append(b"content-length: %d\r\n" % len(request.body))
+        return b"".join(lines)
+
+
+def parse_host(request: http1.Request) -> str:
+    """Parses the host without its port, in lower case."""
+    value = request.get_header(b"host") or b""
+    return value.decode("latin-1").lower().partition(":")[0]
+
+
+def parse_path(request: http1.Request) -> str:
+    """Parses the path without its query."""
+    return request.target.decode("latin-1").partition("?")[0]
+
+
+def parse_deadline_s(value: bytes | None) -> float | None:
+    """Parses how long the sender waits; None if it does not say."""
+    if value is None or not value.isdigit() or len(value) > 9:
+        return None
+    return int(value) / 1000
+
+
+def parse_tokens(value: bytes) -> tuple[bytes, ...]:
+    """Parses the header names that a Connection header lists."""
+    return tuple(token.strip().lower() for token in value.split(b","))
--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/places.py
@@ -0,0 +1,99 @@
+"""The endpoints that a request can be sent to, as this node sees them."""
+
+from .. import data
+from ..membership import links
+from ..serving import local
+from . import placement, shedding
+
+LOCAL = ""
+SAME_ZONE_S = 0.0005
+OTHER_ZONE_S = 0.004
+
+
+class Places:
+    """The endpoint beside this node and those beside its peers.
+
+    :param peers: other nodes by address; kept by the node.
+    """
+
+    def __init__(
+        self,
+        settings: data.Settings,
+        server: local.LocalServer,
+        peers: dict[str, links.Peer],
+    ) -> None:
+        self._settings = settings
+        self._local = server
+        self._peers = peers
+
+    def get_peer(self, address: str) -> links.Peer | None:
+        """Gets the node at an address."""
+        return self._peers.get(address)
+
+    def get_candidates(
+        self, service: str, tried: set[str], now: float
+    ) -> list[placement.Candidate]:
+        """Gets the endpoints of a service that take new requests.
+
+        :param tried: addresses that are left out.
+        """
+        found = []
+        if (
+            service == self._settings.service
+            and LOCAL not in tried
+            and self._local.accepting
+        ):
+            queue = self._local.queue
+            found.append(
+                placement.Candidate(
+                    LOCAL, queue.load, queue.limit, queue.service_s, 0.0, 0.0
+                )
+            )
+        zone = self._settings.zone
+        for address, peer in self._peers.items():
+            state = peer.state
+            if (
+                state is None
+                or state.service != service
+                or not peer.accepting
+                or address in tried
+            ):
+                continue
+            distance = SAME_ZONE_S if peer.zone == zone else OTHER_ZONE_S
+            found.append(
+                placement.Candidate(
+                    address,
+                    peer.load + peer.sent_since,
+                    state.limit,
+                    peer.service_s,
+                    distance,
+                    peer.get_failures(now),
+                )
+            )
+        return found
+
+    def get_capacities(self) -> dict[str, tuple[float, float]]:
+        """Gets requests a second and present use by service."""
+        sums: dict[str, tuple[float, float]] = {}
+        if self._local.accepting:
+            queue = self._local.queue
+            capacity = queue.capacity
+            sums[self._settings.service] = (capacity, queue.use * capacity)
+        for peer in self._peers.values():
+            state = peer.state
+            if state is None or not peer.accepting:
+                continue
+            capacity = max(1.0, state.capacity)
+            total, work = sums.get(state.service, (0.0, 0.0))
+            sums[state.service] = (total + capacity, work + state.use * capacity)
+        return {name: (total, work / total) for name, (total, work) in sums.items()}
+
+    def get_demands(self) -> dict[str, list[shedding.Demand]]:
+        """Gets the work demanded at the other nodes, by service."""
+        told: dict[str, list[shedding.Demand]] = {}
+        for peer in self._peers.values():
+            if peer.state is None or not peer.connected:
+                continue
+            for service, demand in peer.state.demand.items():
+                told.setdefault(service, []).append(demand)
+        return told
