--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 	packages/catkintiller-standins packages/catkintiller-relay platform
 SEED ?= 1
 
-.PHONY: setup demo test lint format docs faults bench keys latency capacity clean
+.PHONY: setup demo test lint format docs faults bench keys latency capacity deploy-check clean
 
 setup: .venv/ready
 
@@ -47,5 +47,9 @@
 capacity: setup
 	$(BIN)/python -m catkintiller_standins.capacity
 
+deploy-check: setup
+	sh deploy/build.sh
+	PYTHONPATH=target/deps $(PYTHON) -c "import catkintiller_relay.main"
+
 clean:
 	rm -rf .venv
--- a/packages/catkintiller-operator/src/catkintiller_operator/main.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/main.py
@@ -11,6 +11,7 @@
 import defopt
 
 from . import exits, fleet, settings_commands, settings_queries
+from . import trace as tracing
 
 LOG = os.environ.get("CATKINTILLER_LOG", "http://127.0.0.1:7070")
 NODE = os.environ.get("CATKINTILLER_NODE", "127.0.0.1:7000")
@@ -161,6 +162,16 @@
     exits.run_guarded(lambda: fleet.run_doctor(log, node))
 
 
+def trace(identity: str, *files: str, json: bool = False) -> None:
+    """Follow one request through the logs of several processes, and say its cause.
+
+    :param identity: identity of the request, as on its log lines.
+    :param files: logs of the processes.
+    :param json: print JSON; the cause goes to standard error.
+    """
+    exits.run_guarded(lambda: tracing.trace_request(identity, list(files), json))
+
+
 def main() -> None:
     """Entry point of ``catkintiller``."""
     settings = {
@@ -179,6 +190,7 @@
             "watch": watch,
             "drain": drain,
             "doctor": doctor,
+            "trace": trace,
         }
     )
 
