--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 	packages/catkintiller-standins packages/catkintiller-relay platform
 SEED ?= 1
 
-.PHONY: setup demo test lint format docs faults bench keys latency capacity deploy-check clean
+.PHONY: setup demo test lint format docs faults bench keys latency capacity experiment deploy-check clean
 
 setup: .venv/ready
 
@@ -44,6 +44,9 @@
 latency: setup
 	$(BIN)/python -m catkintiller_standins.latency
 
+experiment: setup
+	$(BIN)/python -m catkintiller_standins.emulator.experiment --plots bench/results
+
 capacity: setup
 	$(BIN)/python -m catkintiller_standins.capacity
 
--- /dev/null
+++ b/packages/catkintiller-standins/src/catkintiller_standins/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Emulates services, their slots, chains of calls and clients who come back."""
--- /dev/null
+++ b/packages/catkintiller-standins/src/catkintiller_standins/emulator/experiment_test.py
@@ -0,0 +1,47 @@
+"""Tests of the emulator, and of what the node's decisions give callers in a surge."""
+
+from . import arms, experiment, model, shape
+
+SURGE = 2.0
+SEED = 1
+
+
+def play(arm: arms.Arm, form: shape.Shape = shape.GUNSTOCK) -> model.Result:
+    """Plays a surge."""
+    load = experiment.make_load(SURGE)
+    return model.Model(form, arm, load, SEED).run(experiment.SECONDS)
+
+
+class TestModel:
+    """The model itself."""
+
+    def test_same_seed_gives_the_same_run(self) -> None:
+        assert play(arms.QueueOnly()) == play(arms.QueueOnly())
+
+    def test_chains_multiply(self) -> None:
+        kinds = {kind.name: kind for kind in shape.GUNSTOCK.kinds}
+        reach = model.compute_reach(kinds, kinds["lookup"])
+        assert reach == {"quotes": 1.0, "deposits": 2.0, "bays": 2.0, "workshop": 8.0}
+
+    def test_each_request_ends_once(self) -> None:
+        result = play(arms.NoControl())
+        assert all(outcome.tries in (1, 2) for outcome in result.outcomes)
+        assert all(not o.in_target or o.served for o in result.outcomes)
+
+
+class TestSurge:
+    """Twice the usual load on the service at the bottom of the chains."""
+
+    def test_deposits_are_kept(self) -> None:
+        surge = experiment.get_surge(play(arms.Relay(model.NODES)))
+        assert experiment.compute_share(surge, "deposit") > 0.9
+        assert experiment.compute_share(surge, "booking") > 0.9
+
+    def test_they_are_not_without_admission_at_the_top(self) -> None:
+        surge = experiment.get_surge(play(arms.QueueOnly()))
+        assert experiment.compute_share(surge, "deposit") < 0.5
+
+    def test_calm_load_is_served(self) -> None:
+        result = play(arms.Relay(model.NODES))
+        calm = [o for o in result.outcomes if o.sent < experiment.CALM_S]
+        assert sum(outcome.served for outcome in calm) > 0.95 * len(calm)
