--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/shedding_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/shedding_test.py
@@ -73,3 +73,18 @@
     def test_nothing_is_refused_without_need(self) -> None:
         admitted = self.play(5.0, {0: 320.0, 2: 400.0})
         assert sum(admitted.values()) == pytest.approx(720.0, rel=0.03)
+
+
+class TestSpike:
+    """A few requests at once, to a service that was idle until then."""
+
+    def test_new_service_takes_them(self) -> None:
+        own = shedding.Shedder()
+        refused = 0
+        for _ in range(20):
+            for _ in range(12):
+                refused += not own.admit(1, 1.0)
+            own.update(TICK_S, 233.0, 0.1, [])
+            for _ in range(9):
+                own.update(TICK_S, 233.0, 0.1, [])
+        assert refused == 0
