--- a/packages/catkintiller-relay/src/catkintiller_relay/data.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/data.py
@@ -225,3 +225,11 @@
     ANSWERED = 0
     NOT_RUN = 1
     UNKNOWN = 2
+
+
+class ConfigReading(enum.IntEnum):
+    """Whether a node reads configs from the store or gets them from its peers."""
+
+    FROM_PEERS = 0
+    STORE_UNREACHABLE = 1
+    FROM_STORE = 2
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -1,10 +1,13 @@
-"""Connections between nodes.
+"""Outgoing connections to other nodes.
 
-Each node opens one connection to each peer. Requests go out on it; their results, node
+A node opens one connection to each peer. Requests go out on it; their results, node
 states and load reports come back on it.
+
+A peer is known to respond while bytes arrive from it. When nothing has arrived for
+longer than it announced, or for a while although requests run there, it is probed with
+a load request, and it is suspect if that gets no reply.
 """
 
-import abc
 import asyncio
 import random
 from collections.abc import Callable
@@ -12,16 +15,23 @@
 
 from .. import data
 from ..serving import local_endpoint
-from . import frames
+from . import frames, peer_observer
 
 CONNECT_TIMEOUT_S = 1.0
 
-# Time without a message from a peer after which it is suspect, after which its
-# connection is replaced, and after which the replaced connection is aborted.
-SUSPECT_AFTER_S = 0.6
-UNRESPONSIVE_AFTER_S = 1.2
+# Time without bytes from a peer after which it is probed: while requests run there, and
+# beyond the announced time of its next load report.
+BUSY_PROBE_AFTER_S = 0.3
+IDLE_PROBE_MARGIN_S = 0.05
+
+# Time without a reply to a probe after which a peer is suspect, and after which its
+# connection is replaced; time without bytes after which a replaced one is aborted.
+SUSPECT_AFTER_S = 0.3
+UNRESPONSIVE_AFTER_S = 0.9
 ABORT_AFTER_S = 8.0
 
+DEFAULT_REPORT_INTERVAL_S = 0.25
+
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.5
 
@@ -41,43 +51,14 @@
     on_suspect: SuspectHandler
 
 
-class PeerObserver(abc.ABC):
-    """Handles the messages and events of peers, and provides what they request."""
-
-    @abc.abstractmethod
-    def handle_state(self, peer: "Peer", state: frames.NodeState) -> None:
-        """Handles the node state of a peer."""
-
-    @abc.abstractmethod
-    def handle_hello(self, hello: frames.Hello) -> None:
-        """Handles the first message of a node that opened a connection."""
-
-    @abc.abstractmethod
-    def handle_config(self, reply: frames.ConfigReply) -> None:
-        """Handles a config that a peer sent."""
-
-    @abc.abstractmethod
-    def get_config(self) -> data.Config | None:
-        """Returns the config in force, to be sent to peers."""
-
-    @abc.abstractmethod
-    def build_state(self) -> frames.NodeState:
-        """Builds the node state to send to peers."""
-
-    @abc.abstractmethod
-    def handle_peer_event(self, peer: "Peer", event: str) -> None:
-        """Handles a change of the connection to a peer.
-
-        :param event: description of the change, used in a log line.
-        """
-
-
 class OutgoingConnection(asyncio.Protocol):
     """A connection that this node opened to a peer; requests are sent on it.
 
     :ivar outstanding: attempts without a result, by number in the order of sending.
     :ivar last_received_at: time of the event loop when bytes last arrived, in
         seconds.
+    :ivar probed_at: time of the event loop when a probe was sent that got no reply
+        yet, in seconds; None without one.
     """
 
     def __init__(self, peer: "Peer") -> None:
@@ -86,6 +67,7 @@
         self._transport: asyncio.Transport | None = None
         self.outstanding: dict[int, OutstandingAttempt] = {}
         self.last_received_at = 0.0
+        self.probed_at: float | None = None
         self._last_notified_number = 0
 
     @property
@@ -117,6 +99,7 @@
             self.abort()
             return
         self.last_received_at = self._peer.loop.time()
+        self.probed_at = None
         for message in messages:
             if type(message) is frames.Reply:
                 self._handle_reply(message)
@@ -128,6 +111,21 @@
         if self._transport is not None:
             self._transport.write(frames.encode(message))
 
+    def probe(self, now: float) -> None:
+        """Requests a load report unless a request has no reply yet.
+
+        :param now: time of the event loop, in seconds.
+        """
+        if self.probed_at is not None:
+            return
+        self.probed_at = now
+        if self._peer.handles_load_requests:
+            self.send(frames.LoadRequest())
+
+    def get_unanswered_s(self, now: float) -> float:
+        """Returns for how many seconds a probe has had no reply; 0 without one."""
+        return 0.0 if self.probed_at is None else now - self.probed_at
+
     def abort(self) -> None:
         """Aborts the connection."""
         if self._transport is not None:
@@ -149,6 +147,8 @@
 
     def _handle_reply(self, reply: frames.Reply) -> None:
         self._peer.update_load(reply.load, reply.service_time_us)
+        if reply.utilization >= 0:
+            self._peer.utilization = reply.utilization / frames.UTILIZATION_SCALE
         attempt = self.outstanding.pop(reply.number, None)
         if attempt is None:
             return
@@ -175,6 +175,8 @@
     :ivar capacity: requests per second that its endpoint can run.
     :ivar utilization: arriving work over the work that its endpoint can do.
     :ivar demand: requests per second demanded at the peer, by service and rank.
+    :ivar reported_at: time of the event loop of its last load report, in seconds.
+    :ivar report_interval_s: time until its next load report, as it announced.
     :ivar sent_since_report: attempts sent to it since it last reported its load.
     :ivar unreachable_since: time of the event loop since which it cannot be reached,
         in seconds; None while it is connected.
@@ -186,7 +188,7 @@
         address: str,
         zone: str,
         hello: frames.Hello,
-        observer: PeerObserver,
+        observer: peer_observer.PeerObserver,
         rng: random.Random,
     ) -> None:
         self.loop = loop
@@ -199,6 +201,8 @@
         self.capacity = 0.0
         self.utilization = 0.0
         self.demand: dict[str, dict[int, float]] = {}
+        self.reported_at = float("-inf")
+        self.report_interval_s = DEFAULT_REPORT_INTERVAL_S
         self.sent_since_report = 0
         self.unreachable_since: float | None = None
         self._observer = observer
@@ -217,6 +221,18 @@
         connection = self._connection
         return connection is not None and connection.usable
 
+    @property
+    def outstanding_count(self) -> int:
+        """Number of attempts at the peer that have no result yet."""
+        connections = [*self._replaced_connections, self._connection]
+        return sum(len(each.outstanding) for each in connections if each is not None)
+
+    @property
+    def handles_load_requests(self) -> bool:
+        """Whether the peer's version of the protocol has load requests."""
+        state = self.state
+        return state is not None and state.protocol >= frames.LOAD_REQUEST_VERSION
+
     @property
     def accepting(self) -> bool:
         """Whether the peer's endpoint accepts new requests."""
@@ -261,9 +277,9 @@
         return connection, number
 
     def is_suspect(self, now: float) -> bool:
-        """Returns whether the peer is not connected or sent nothing for too long."""
+        """Returns whether the peer is not connected or does not reply to a probe."""
         connection = self._connection
-        return connection is None or now - connection.last_received_at > SUSPECT_AFTER_S
+        return connection is None or connection.get_unanswered_s(now) > SUSPECT_AFTER_S
 
     def update_load(self, load: int, service_time_us: int) -> None:
         """Sets the load of the peer's endpoint, as the peer reported it.
@@ -294,6 +310,9 @@
 
     def _handle_load_report(self, report: frames.LoadReport) -> None:
         self.update_load(report.load, report.service_time_us)
+        self.reported_at = self.loop.time()
+        if report.interval_ms:
+            self.report_interval_s = report.interval_ms / 1000
         self.capacity = float(report.capacity)
         self.utilization = report.utilization / frames.UTILIZATION_SCALE
         demand: dict[str, dict[int, float]] = {}
@@ -317,20 +336,8 @@
         :param now: time of the event loop, in seconds.
         """
         connection = self._connection
-        if (
-            connection is not None
-            and now - connection.last_received_at > UNRESPONSIVE_AFTER_S
-        ):
-            # Results may still arrive on it, but no new requests are sent there.
-            self._replaced_connections.append(connection)
-            self._connection = None
-            self.unreachable_since = now
-            self._observer.handle_peer_event(self, "unresponsive")
-        if (
-            connection is not None
-            and now - connection.last_received_at > SUSPECT_AFTER_S
-        ):
-            connection.notify_suspect()
+        if connection is not None:
+            self._check_responsiveness(connection, now)
         for replaced in list(self._replaced_connections):
             if (
                 now - replaced.last_received_at > ABORT_AFTER_S
@@ -347,6 +354,23 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    def _check_responsiveness(self, connection: OutgoingConnection, now: float) -> None:
+        silence_s = now - connection.last_received_at
+        probe_after_s = self.report_interval_s + IDLE_PROBE_MARGIN_S
+        if connection.outstanding:
+            probe_after_s = min(probe_after_s, BUSY_PROBE_AFTER_S)
+        if silence_s > probe_after_s:
+            connection.probe(now)
+        unanswered_s = connection.get_unanswered_s(now)
+        if unanswered_s > UNRESPONSIVE_AFTER_S:
+            # Results may still arrive on it, but no new requests are sent there.
+            self._replaced_connections.append(connection)
+            self._connection = None
+            self.unreachable_since = now
+            self._observer.handle_peer_event(self, "unresponsive")
+        if unanswered_s > SUSPECT_AFTER_S:
+            connection.notify_suspect()
+
     def close(self) -> None:
         """Aborts all connections and attempts to connect."""
         for task in self._tasks:
@@ -377,125 +401,3 @@
         self._reconnect_at = 0.0
         self.unreachable_since = None
         self._observer.handle_peer_event(self, "connected")
-
-
-class IncomingConnection(asyncio.Protocol):
-    """A connection that a peer opened; its requests run at the local endpoint."""
-
-    def __init__(self, server: "PeerServer") -> None:
-        self._server = server
-        self._decoder = frames.FrameDecoder()
-        self._transport: asyncio.Transport | None = None
-        self._executions: dict[int, local_endpoint.Execution] = {}
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        """Sends the node state at once."""
-        self._transport = transport
-        self._server.incoming_connections.add(self)
-        self.send(self._server.observer.build_state())
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Cancels the peer's requests that wait or run."""
-        self._transport = None
-        self._server.incoming_connections.discard(self)
-        executions, self._executions = self._executions, {}
-        for execution in executions.values():
-            self._server.local_endpoint.cancel(execution)
-
-    def data_received(self, received: bytes) -> None:
-        """Handles the messages that are complete."""
-        try:
-            messages = self._decoder.feed(received)
-        except data.DecodeError:
-            if self._transport is not None:
-                self._transport.abort()
-            return
-        for message in messages:
-            if type(message) is frames.Submit:
-                self._submit(message)
-            elif type(message) is frames.Cancel:
-                execution = self._executions.pop(message.number, None)
-                if execution is not None:
-                    self._server.local_endpoint.cancel(execution)
-            elif type(message) is frames.Hello:
-                self._server.observer.handle_hello(message)
-            elif type(message) is frames.ConfigRequest:
-                self._send_config(message.version)
-
-    def send(self, message: frames.Message) -> None:
-        """Sends a message."""
-        self.write(frames.encode(message))
-
-    def write(self, frame: bytes) -> None:
-        """Sends a message that is already encoded."""
-        if self._transport is not None:
-            self._transport.write(frame)
-
-    def _submit(self, message: frames.Submit) -> None:
-        number = message.number
-        attempt = local_endpoint.Attempt(
-            message.request_id,
-            message.route,
-            message.service,
-            message.rank,
-            message.is_nested_call,
-            message.remaining_ms / 1000,
-            message.target_latency_ms / 1000,
-            message.head,
-            message.body,
-        )
-
-        def send_reply(result: local_endpoint.AttemptResult) -> None:
-            self._executions.pop(number, None)
-            queue = self._server.local_endpoint.queue
-            self.send(
-                frames.Reply(
-                    number,
-                    int(result.outcome),
-                    result.reason.value if result.reason else "",
-                    result.status,
-                    queue.load,
-                    int(queue.service_time_s * 1e6),
-                    result.head,
-                    result.body,
-                )
-            )
-
-        execution = self._server.local_endpoint.submit(attempt, send_reply)
-        if execution.on_complete is not None:
-            self._executions[number] = execution
-
-    def _send_config(self, version: int) -> None:
-        config = self._server.observer.get_config()
-        if config is not None and config.version > version:
-            self.send(frames.ConfigReply(config.version, config.raw))
-
-
-class PeerServer:
-    """Server that accepts the connections of peers."""
-
-    def __init__(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        endpoint: local_endpoint.LocalEndpoint,
-        observer: PeerObserver,
-    ) -> None:
-        self._loop = loop
-        self.local_endpoint = endpoint
-        self.observer = observer
-        self.incoming_connections: set[IncomingConnection] = set()
-
-    async def listen(self, address: str) -> None:
-        """Starts to accept connections at an address."""
-        host, _, port = address.rpartition(":")
-        await self._loop.create_server(
-            lambda: IncomingConnection(self), host, int(port), backlog=256
-        )
-
-    def broadcast(self, message: frames.Message) -> None:
-        """Sends a message to all connected peers."""
-        if not self.incoming_connections:
-            return
-        frame = frames.encode(message)
-        for connection in list(self.incoming_connections):
-            connection.write(frame)
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
@@ -9,7 +9,8 @@
 
 from .. import data
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
+LOAD_REQUEST_VERSION = 3  # first protocol version with load requests
 UTILIZATION_SCALE = 1000
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 _LENGTH = struct.Struct(">I")
@@ -20,12 +21,15 @@
 
     :param address: address where the sender accepts connections of other nodes.
     :param boot_id: identity of this start of the sender's process.
+    :param service: service of the sender's endpoint; empty if the sender is of an
+        older version.
     """
 
     protocol: int
     address: str
     zone: str
     boot_id: str
+    service: str = ""
 
 
 class LoadReport(msgspec.Struct, tag=8, array_like=True):
@@ -37,6 +41,8 @@
     :param utilization: arriving work over the work that can be done, in thousandths.
     :param demand: requests per second demanded at the node, in the order of the
         ``demand_keys`` of the last node state.
+    :param interval_ms: time until the next report to the receiver, in milliseconds; 0
+        if the sender is of an older version.
     """
 
     load: int
@@ -44,6 +50,7 @@
     capacity: int
     utilization: int
     demand: list[int]
+    interval_ms: int = 0
 
 
 class NodeState(msgspec.Struct, tag=2, array_like=True):
@@ -61,6 +68,9 @@
     :param config_version: version of the config in force; 0 without one.
     :param edges: edges of the call graph that were counted at the node.
     :param demand_keys: service and rank of each value of the load report's demand.
+    :param config_reading: value of a :class:`..data.ConfigReading`: whether the node
+        reads configs from the store.
+    :param protocol: protocol version of the sender.
     """
 
     instance: str
@@ -74,6 +84,8 @@
     edges: list[tuple[str, str, str, float]]
     demand_keys: list[tuple[str, int]]
     load_report: LoadReport
+    config_reading: int = 0
+    protocol: int = 2
 
 
 class Submit(msgspec.Struct, tag=3, array_like=True):
@@ -113,6 +125,8 @@
     :param reason: value of a :class:`..data.RefusalReason`; empty if answered.
     :param load: requests that run or wait at the endpoint.
     :param service_time_us: average service time of the endpoint, in microseconds.
+    :param utilization: as in :class:`LoadReport`; negative if the sender is of an
+        older version.
     """
 
     number: int
@@ -123,6 +137,7 @@
     service_time_us: int
     head: bytes
     body: bytes
+    utilization: int = -1
 
 
 class ConfigRequest(msgspec.Struct, tag=6, array_like=True):
@@ -138,6 +153,10 @@
     raw: bytes
 
 
+class LoadRequest(msgspec.Struct, tag=9, array_like=True):
+    """Requests a load report at once; shows whether the receiver still responds."""
+
+
 Message = (
     Hello
     | NodeState
@@ -147,6 +166,7 @@
     | ConfigRequest
     | ConfigReply
     | LoadReport
+    | LoadRequest
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
@@ -6,7 +6,7 @@
 import pytest
 
 from .. import data
-from . import connections, frames
+from . import connections, frames, peer_observer
 
 DEMAND_KEYS = [(f"service-{number}", rank) for number in range(4) for rank in range(3)]
 
@@ -72,7 +72,7 @@
         assert observer.state_count == 1
 
 
-class CountingObserver(connections.PeerObserver):
+class CountingObserver(peer_observer.PeerObserver):
     """Counts the node states that it receives."""
 
     def __init__(self) -> None:
@@ -96,5 +96,12 @@
         """Builds a node state."""
         return build_node_state()
 
+    def build_load_report(self) -> frames.LoadReport:
+        """Builds a load report."""
+        return build_node_state().load_report
+
+    def handle_peer_removed(self, address: str) -> None:
+        """Does nothing."""
+
     def handle_peer_event(self, peer: connections.Peer, event: str) -> None:
         """Does nothing."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/node_state.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/node_state.py
@@ -24,15 +24,21 @@
         self._tracker = tracker
         self._local_endpoint = endpoint
         self._admission = admission_control
-        self._last_sent: frames.NodeState | None = None
+        self._last_state: frames.NodeState | None = None
 
     def build_state(
-        self, config_version: int, edges: tuple[call_graph.Edge, ...]
+        self,
+        config_version: int,
+        config_reading: data.ConfigReading,
+        edges: tuple[call_graph.Edge, ...],
+        report_interval_s: float,
     ) -> frames.NodeState:
         """Builds the node state.
 
         :param config_version: version of the config in force; 0 without one.
-        :param edges: edges of the call graph to send with it.
+        :param config_reading: whether this node reads configs from the store.
+        :param edges: edges of the call graph that were counted at this node.
+        :param report_interval_s: time between load reports to a peer, in seconds.
         """
         current = self._tracker.current
         return frames.NodeState(
@@ -46,23 +52,26 @@
             config_version,
             [tuple(edge) for edge in edges],
             list(self._admission.demand_keys),
-            self._build_load_report(),
+            self.build_load_report(report_interval_s),
+            config_reading,
+            frames.PROTOCOL_VERSION,
         )
 
-    def select_message(
-        self, state: frames.NodeState
-    ) -> frames.NodeState | frames.LoadReport:
-        """Returns the node state, or only its load report if nothing else has changed.
+    def record_change(self, state: frames.NodeState) -> bool:
+        """Returns whether a state differs from the one in the last call.
 
-        The comparison is with the last node state that this method returned.
+        The load report is left out of the comparison.
         """
         without_load = msgspec.structs.replace(state, load_report=EMPTY_LOAD_REPORT)
-        if without_load == self._last_sent:
-            return state.load_report
-        self._last_sent = without_load
-        return state
+        changed = without_load != self._last_state
+        self._last_state = without_load
+        return changed
+
+    def build_load_report(self, report_interval_s: float) -> frames.LoadReport:
+        """Builds the load report.
 
-    def _build_load_report(self) -> frames.LoadReport:
+        :param report_interval_s: time until the next one to the same peer, in seconds.
+        """
         queue = self._local_endpoint.queue
         return frames.LoadReport(
             queue.load,
@@ -70,4 +79,5 @@
             round(queue.capacity),
             round(queue.utilization * frames.UTILIZATION_SCALE),
             self._admission.get_demand_per_s(),
+            round(report_interval_s * 1000),
         )
--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_observer.py
@@ -0,0 +1,49 @@
+"""Interface through which connections between nodes reach the node itself."""
+
+import abc
+from typing import TYPE_CHECKING
+
+from .. import data
+from . import frames
+
+if TYPE_CHECKING:
+    from . import connections
+
+
+class PeerObserver(abc.ABC):
+    """Handles the messages and events of peers, and provides what they request."""
+
+    @abc.abstractmethod
+    def handle_state(self, peer: "connections.Peer", state: frames.NodeState) -> None:
+        """Handles the node state of a peer."""
+
+    @abc.abstractmethod
+    def handle_hello(self, hello: frames.Hello) -> None:
+        """Handles the first message of a node that opened a connection."""
+
+    @abc.abstractmethod
+    def handle_config(self, reply: frames.ConfigReply) -> None:
+        """Handles a config that a peer sent."""
+
+    @abc.abstractmethod
+    def get_config(self) -> data.Config | None:
+        """Returns the config in force, to be sent to peers."""
+
+    @abc.abstractmethod
+    def build_state(self) -> frames.NodeState:
+        """Builds the node state to send to peers."""
+
+    @abc.abstractmethod
+    def build_load_report(self) -> frames.LoadReport:
+        """Builds the load report to send to peers."""
+
+    @abc.abstractmethod
+    def handle_peer_event(self, peer: "connections.Peer", event: str) -> None:
+        """Handles a change of the connection to a peer.
+
+        :param event: description of the change, used in a log line.
+        """
+
+    @abc.abstractmethod
+    def handle_peer_removed(self, address: str) -> None:
+        """Handles the removal of a peer that is lost or no longer selected."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/store_watcher.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/store_watcher.py
@@ -1,4 +1,10 @@
-"""Watches the store for configs and node records, and writes this node's record."""
+"""Watches the store for configs and node records, and writes this node's record.
+
+Each call to the store is priced and limited in rate, and the number of nodes is not
+limited. A node therefore reads configs only while it has the role to, see
+:mod:`.config_role`, reads the node records rarely once it is connected to its peers,
+which introduce new nodes, and waits longer after each failed call.
+"""
 
 import asyncio
 import collections
@@ -12,10 +18,12 @@
 from ..routing import call_graph
 from ..telemetry import events
 
-CONFIG_POLL_TIMEOUT_S = 20.0
+CONFIG_POLL_TIMEOUT_S = 28.0
 MIN_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.0
-NODE_READ_INTERVAL_S = 20.0
+MAX_BACKOFF_WITH_PEERS_S = 3.0
+NODE_READ_INTERVAL_S = 60.0
+FIRST_POLL_DELAY_S = 1.5  # until the nodes have chosen those that go on reading
 RECORD_CHECK_INTERVAL_S = 10.0
 MAX_TOMBSTONE_COUNT = 8
 
@@ -47,7 +55,9 @@
 
     :param apply_config: called with the bytes of a config and the name of its source.
     :param handle_record: called with the key of each node record and the record.
-    :param has_peers: returns whether this node has any peers.
+    :param has_peers: returns whether this node is connected to any peers.
+    :param keeps_call_graph: returns whether this node is one of the few that write new
+        edges of the call graph.
     :ivar store_calls: number of calls by kind and result, for the metrics.
     :ivar nodes_listed: whether the node records were read, or could not be read while
         this node already has peers.
@@ -66,6 +76,7 @@
         apply_config: Callable[[bytes, str], None],
         handle_record: Callable[[str, NodeRecord], None],
         has_peers: Callable[[], bool],
+        keeps_call_graph: Callable[[], bool],
     ) -> None:
         self._store = store
         self._settings = settings
@@ -75,22 +86,49 @@
         self._apply_config = apply_config
         self._handle_record = handle_record
         self._has_peers = has_peers
+        self._keeps_call_graph = keeps_call_graph
         self._store_unreachable = False
+        self._config_reachable = False
+        self._is_listed = False
+        self._reading_enabled = asyncio.Event()
+        self._reading_enabled.set()
         self._written_edges: set[tuple[str, str, str]] = set()
         self.store_calls: collections.Counter[tuple[str, str]] = collections.Counter()
         self.nodes_listed = False
         self.local_edges: tuple[call_graph.Edge, ...] = ()
         self.tombstones: dict[str, int] = {}
 
+    @property
+    def config_reading(self) -> data.ConfigReading:
+        """Whether this node reads configs from the store."""
+        if not self._reading_enabled.is_set():
+            return data.ConfigReading.FROM_PEERS
+        if not self._config_reachable:
+            return data.ConfigReading.STORE_UNREACHABLE
+        return data.ConfigReading.FROM_STORE
+
+    def set_config_reading(self, *, enabled: bool) -> None:
+        """Starts or stops reading configs; a call in progress is not cancelled."""
+        if enabled:
+            self._reading_enabled.set()
+        else:
+            self._reading_enabled.clear()
+
     async def watch_config(self) -> None:
-        """Applies each new config until cancelled."""
+        """Applies each new config, while reading is enabled, until cancelled."""
         delay_s = MIN_BACKOFF_S
         offset: int | None = None
         while True:
+            if not self._reading_enabled.is_set():
+                await self._reading_enabled.wait()
+                delay_s = MIN_BACKOFF_S
+            wait_s = 0.0
             try:
                 if offset is None:
                     record = await self._store.read_config()
                     offset = 0 if record is None else record.offset + 1
+                    if record is not None:
+                        wait_s = FIRST_POLL_DELAY_S
                 else:
                     record = await self._store.wait_for_config(
                         offset, CONFIG_POLL_TIMEOUT_S
@@ -99,36 +137,49 @@
                     offset = record.offset + 1
                     self._apply_config(record.value, "store")
                 self._record_call("config", None)
+                self._config_reachable = True
                 delay_s = MIN_BACKOFF_S
+                await asyncio.sleep(wait_s)
             except data.OffsetCompactedError as error:
                 self.store_calls["config", error.reason] += 1
                 offset = None
             except data.StoreError as error:
                 self._record_call("config", error.reason)
-                await asyncio.sleep(delay_s * self._rng.uniform(0.7, 1.3))
-                delay_s = min(MAX_BACKOFF_S, 2 * delay_s)
+                self._config_reachable = False
+                delay_s = await self._back_off(delay_s)
 
     async def watch_node_records(self) -> None:
         """Reads the node records and updates this node's record until cancelled.
 
         The records are read before this node's record is first written, so that the
-        tombstones in its old record are kept. The record is written again when this
-        node has counted an edge that is not in it.
+        tombstones in its old record are kept. A node that is listed with its present
+        address has started before and is found by the others without a new record.
+        The record is written again if this node has counted an edge that no record
+        contained.
         """
         self._decode_records(await self._call_store(self._store.read_node_records))
-        await self._call_store(self.write_record)
-        next_read_at = 0.0
+        if not self._is_listed:
+            await self._call_store(self.write_record)
+            self._decode_records(await self._call_store(self._store.read_node_records))
+        self.nodes_listed = True
+        next_read_at = self._draw_next_read_at()
         while True:
+            await asyncio.sleep(RECORD_CHECK_INTERVAL_S * self._rng.uniform(0.3, 1.0))
+            if self._keeps_call_graph() and self.has_unwritten_edges():
+                await self._call_store(self.write_record)
             if asyncio.get_running_loop().time() >= next_read_at:
                 self._decode_records(
                     await self._call_store(self._store.read_node_records)
                 )
-                self.nodes_listed = True
-                delay_s = NODE_READ_INTERVAL_S * self._rng.uniform(0.8, 1.2)
-                next_read_at = asyncio.get_running_loop().time() + delay_s
-            await asyncio.sleep(RECORD_CHECK_INTERVAL_S * self._rng.uniform(0.3, 1.0))
-            if {edge[:3] for edge in self.local_edges} - self._written_edges:
-                await self._call_store(self.write_record)
+                next_read_at = self._draw_next_read_at()
+
+    def _draw_next_read_at(self) -> float:
+        delay_s = NODE_READ_INTERVAL_S * self._rng.uniform(0.8, 1.2)
+        return asyncio.get_running_loop().time() + delay_s
+
+    def has_unwritten_edges(self) -> bool:
+        """Returns whether an edge counted at this node is in no known record."""
+        return bool({edge[:3] for edge in self.local_edges} - self._written_edges)
 
     async def write_record(self) -> None:
         """Writes this node's record.
@@ -157,12 +208,20 @@
                 self._record_call("nodes", error.reason)
                 if self._has_peers():
                     self.nodes_listed = True
-                await asyncio.sleep(delay_s * self._rng.uniform(0.7, 1.3))
-                delay_s = min(MAX_BACKOFF_S, 2 * delay_s)
+                delay_s = await self._back_off(delay_s)
             else:
                 self.store_calls["nodes", "ok"] += 1
                 return result
 
+    async def _back_off(self, delay_s: float) -> float:
+        """Waits after a failed call and returns the delay after the next one.
+
+        A node that has peers waits longer, since they send it configs and nodes.
+        """
+        await asyncio.sleep(delay_s * self._rng.uniform(0.7, 1.3))
+        max_s = MAX_BACKOFF_WITH_PEERS_S if self._has_peers() else MAX_BACKOFF_S
+        return min(max_s, 2 * delay_s)
+
     def _decode_records(self, records: list[data.StoreRecord]) -> None:
         """Decodes node records and passes them to ``handle_record``.
 
@@ -178,8 +237,20 @@
                     "peer", "Node record ignored: invalid format.", why=str(error)
                 )
                 continue
+            self._written_edges |= {tuple(edge[:3]) for edge in record.edges}
+            if stored.key == self._settings.node:
+                self._is_listed = self._matches_settings(record)
             self._handle_record(stored.key, record)
 
+    def _matches_settings(self, record: NodeRecord) -> bool:
+        """Returns whether a record tells the others how to reach this node."""
+        settings = self._settings
+        return (record.address, record.zone, record.service) == (
+            settings.inbound,
+            settings.zone,
+            settings.service,
+        )
+
     def _record_call(self, call: str, reason: str | None) -> None:
         """Counts a call; logs when the store becomes unreachable or reachable.
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -7,18 +7,28 @@
 
 from . import data, interfaces
 from .ingress import http1
-from .membership import connections, frames, node_state, store_watcher
-from .routing import call_graph, endpoint_directory, forwarder
+from .membership import (
+    config_role,
+    connections,
+    frames,
+    node_state,
+    peer_observer,
+    peer_server,
+    peer_set,
+    store_watcher,
+)
+from .routing import call_graph, endpoint_directory, forwarder, subsetting
 from .serving import endpoint_client, endpoint_tracker, local_endpoint
 from .telemetry import events, gauges, metrics
 
 TICK_INTERVAL_S = 0.05
-STATE_INTERVAL_S = 0.25
+ADMISSION_INTERVAL_S = 0.1
 PEER_CHECK_INTERVAL_S = 0.1
 SWEEP_INTERVAL_S = 1.0
 EDGE_REFRESH_INTERVAL_S = 0.3
 EDGE_CHANGE_RATIO = 0.1
-EDGE_RESEND_INTERVAL_S = 5.0
+ROLE_CHECK_INTERVAL_S = 1.0
+CALL_GRAPH_KEEPER_COUNT = 3
 TOMBSTONE_WRITE_TIMEOUT_S = 0.4
 
 # A node that is about to stop refuses root requests from REFUSE_BEFORE_CLOSE_S before
@@ -29,13 +39,15 @@
 KILL_MARGIN_S = 0.6
 REPLY_FLUSH_S = 0.15
 
+# Time that a node that reads the store waits for a config that a peer already has, and
+# time that a peer has to send a config before another one is asked.
 PEER_CONFIG_DELAY_S = 0.3
-REMOVE_PEER_AFTER_S = 30.0
+PEER_CONFIG_TIMEOUT_S = 0.4
 
 DEFAULT_LIMITS = data.ClientLimits(16384, 64 * 1024 * 1024, 3.0, 15.0)
 
 
-class Node(connections.PeerObserver):
+class Node(peer_observer.PeerObserver):
     """The process beside one endpoint.
 
     :param platform: decodes the platform's formats.
@@ -56,11 +68,19 @@
         self._log = log
         self._rng = random.Random()
         self._boot_id = secrets.token_hex(6)
+        self._hello = frames.Hello(
+            frames.PROTOCOL_VERSION,
+            settings.inbound,
+            settings.zone,
+            self._boot_id,
+            settings.service,
+        )
+        self._peers = peer_set.PeerSet(loop, settings, self._hello, self, self._rng)
         self._config: data.Config | None = None
         self._config_applied_at = 0.0
-        self._peers: dict[str, connections.Peer] = {}
-        self._edges_to_send: tuple[call_graph.Edge, ...] = ()
-        self._edges_sent_at = 0.0
+        self._newer_config_seen_at: float | None = None
+        self._config_requested_at = float("-inf")
+        self._published_edges: tuple[call_graph.Edge, ...] = ()
         self._stopping = asyncio.Event()
         self._stop_started_at = 0.0
         self._tasks: list[asyncio.Task] = []
@@ -74,7 +94,8 @@
             self._rng,
             self._apply_config,
             self._handle_node_record,
-            lambda: bool(self._peers),
+            lambda: self._peers.has_connection,
+            self._keeps_call_graph,
         )
         self._tracker = endpoint_tracker.EndpointTracker(
             settings.service, settings.heartbeat_s
@@ -104,15 +125,16 @@
         self._state_builder = node_state.NodeStateBuilder(
             settings, self._tracker, self._local_endpoint, self._forwarder.admission
         )
-        self._peer_server = connections.PeerServer(loop, self._local_endpoint, self)
-        self._hello = frames.Hello(
-            frames.PROTOCOL_VERSION, settings.inbound, settings.zone, self._boot_id
-        )
+        self._peer_server = peer_server.PeerServer(loop, self._local_endpoint, self)
         self._outbound_server = self._create_server(self._forwarder.handle_request)
         self._admin_server = self._create_server(self._handle_admin)
         self._readiness_server = self._create_server(self._handle_readiness)
         self._metrics_server = self._create_server(self._handle_metrics)
 
+    @property
+    def _config_version(self) -> int:
+        return self._config.version if self._config is not None else 0
+
     @property
     def ready(self) -> bool:
         """Whether the node is ready for requests of clients."""
@@ -141,6 +163,7 @@
             self._loop.create_task(self._store_watcher.watch_config()),
             self._loop.create_task(self._store_watcher.watch_node_records()),
             self._loop.create_task(self._run_periodic_tasks()),
+            self._loop.create_task(self._introduce_itself()),
         ]
         for task in self._tasks:
             task.add_done_callback(self._handle_task_done)
@@ -158,19 +181,20 @@
         self._stopping.set()
 
     def handle_state(self, peer: connections.Peer, state: frames.NodeState) -> None:
-        """Adds the peer's edges to the call graph; requests its config if it is newer.
-
-        The config is requested only after a delay, if it is still newer then.
-        """
+        """Updates the peer's service and adds its edges to the call graph."""
+        member = subsetting.Member(peer.address, state.zone, state.service)
+        self._peers.add_member(member)
         if state.edges:
             self._merge_edges([call_graph.Edge(*edge) for edge in state.edges])
-        own_version = self._config.version if self._config else 0
-        if state.config_version > own_version:
-            self._loop.call_later(PEER_CONFIG_DELAY_S, self._request_config, peer)
 
     def handle_hello(self, hello: frames.Hello) -> None:
-        """Adds the node that opened a connection as a peer."""
-        self._add_peer(hello.address, hello.zone)
+        """Adds the node that opened a connection as a member."""
+        member = subsetting.Member(hello.address, hello.zone, hello.service)
+        self._peers.add_member(member)
+
+    def handle_peer_removed(self, address: str) -> None:
+        """Drops what is known about the endpoint beside a peer that was removed."""
+        self._endpoints.remove_node(address)
 
     def handle_config(self, reply: frames.ConfigReply) -> None:
         """Applies a config that a peer sent."""
@@ -182,15 +206,25 @@
 
     def build_state(self) -> frames.NodeState:
         """Builds the node state to send to peers."""
-        version = self._config.version if self._config else 0
-        return self._state_builder.build_state(version, self._edges_to_send)
+        return self._state_builder.build_state(
+            self._config_version,
+            self._store_watcher.config_reading,
+            self._published_edges,
+            self._peer_server.report_interval_s,
+        )
 
-    def _broadcast_state(self) -> None:
-        """Sends the node state to all peers, or only its load report if unchanged."""
-        self._peer_server.broadcast(
-            self._state_builder.select_message(self.build_state())
+    def build_load_report(self) -> frames.LoadReport:
+        """Builds the load report to send to peers."""
+        return self._state_builder.build_load_report(
+            self._peer_server.report_interval_s
         )
 
+    def _broadcast_state(self) -> None:
+        """Sends the node state to all connected nodes if it has changed."""
+        state = self.build_state()
+        if self._state_builder.record_change(state):
+            self._peer_server.broadcast(state)
+
     def handle_peer_event(self, peer: connections.Peer, event: str) -> None:
         """Logs a change of the connection to a peer."""
         if self._log.reserve_line("peer"):
@@ -226,7 +260,7 @@
             self._forwarder.get_remaining_retries(now),
             self._store_watcher.store_calls,
         )
-        peers = list(self._peers.values())
+        peers = list(self._peers.peers.values())
         gauges.set_gauges(self.metrics, gauge_values, peers, self._local_endpoint)
         connection.send_status(200, body=self.metrics.format_text().encode())
 
@@ -290,7 +324,9 @@
         self._merge_edges(list(record.edges))
         if key == self._settings.node:
             self._restore_tombstones(record)
-        self._add_peer(record.address, record.zone)
+        self._peers.add_member(
+            subsetting.Member(record.address, record.zone, record.service)
+        )
 
     def _restore_tombstones(self, record: store_watcher.NodeRecord) -> None:
         """Restores the tombstones that this node wrote before it restarted."""
@@ -337,17 +373,61 @@
             self._local_endpoint.refuse_queued()
         self._broadcast_state()
 
-    def _add_peer(self, address: str, zone: str) -> None:
-        if address == self._settings.inbound or address in self._peers:
+    def _keeps_call_graph(self) -> bool:
+        """Returns whether this node is among the first of its service, in any order."""
+        position = config_role.get_position(self._settings.inbound)
+        preceding_count = sum(
+            peer.state.service == self._settings.service
+            and config_role.get_position(peer.address) < position
+            for peer in self._peers.get_responsive_peers(self._loop.time())
+        )
+        return preceding_count < CALL_GRAPH_KEEPER_COUNT
+
+    def _update_config_role(self, now: float) -> None:
+        """Starts or stops reading configs from the store, see :mod:`.config_role`."""
+        if self._config is None:
+            return
+        previous = self._store_watcher.config_reading
+        peers = [
+            config_role.PeerReading(
+                peer.address, data.ConfigReading(peer.state.config_reading)
+            )
+            for peer in self._peers.get_responsive_peers(now)
+        ]
+        reads = config_role.should_read_store(self._settings.inbound, previous, peers)
+        if reads is (previous is not data.ConfigReading.FROM_PEERS):
             return
-        peer = connections.Peer(self._loop, address, zone, self._hello, self, self._rng)
-        self._peers[address] = peer
-        peer.tick(self._loop.time())
+        self._store_watcher.set_config_reading(enabled=reads)
+        self._log.write(
+            "config",
+            "Reads configs from the store." if reads else "Gets configs from peers.",
+            peers=len(peers),
+        )
+        self._broadcast_state()
 
-    def _request_config(self, peer: connections.Peer) -> None:
-        own_version = self._config.version if self._config else 0
-        if peer.state is not None and peer.state.config_version > own_version:
-            peer.request_config(own_version)
+    def _request_newer_config(self, now: float) -> None:
+        """Requests a config from one of the peers that have a newer one."""
+        version = self._config_version
+        peers = [
+            peer
+            for peer in self._peers.get_responsive_peers(now)
+            if peer.state.config_version > version
+        ]
+        if not peers:
+            self._newer_config_seen_at = None
+            return
+        if self._newer_config_seen_at is None:
+            self._newer_config_seen_at = now
+        reads_store = (
+            self._store_watcher.config_reading is data.ConfigReading.FROM_STORE
+        )
+        delay_s = PEER_CONFIG_DELAY_S if reads_store else 0.0
+        if (
+            now - self._newer_config_seen_at >= delay_s
+            and now - self._config_requested_at >= PEER_CONFIG_TIMEOUT_S
+        ):
+            self._config_requested_at = now
+            self._rng.choice(peers).request_config(version)
 
     def _apply_config(self, raw: bytes, source: str) -> None:
         try:
@@ -361,6 +441,7 @@
             return
         self._config = config
         self._config_applied_at = self._loop.time()
+        self._config_requested_at = float("-inf")
         self._forwarder.set_config(config)
         self._outbound_server.limits = config.limits
         self._log.write(
@@ -370,33 +451,58 @@
             routes=len(config.routes),
             source=source,
         )
+        self._broadcast_state()
 
     async def _run_periodic_tasks(self) -> None:
-        last_tick_at = self._loop.time()
-        next_state_at = next_peers_at = next_sweep_at = next_edges_at = last_tick_at
+        last_tick_at = last_admission_at = self._loop.time()
+        next_report_at = next_peers_at = next_sweep_at = next_edges_at = last_tick_at
+        next_role_at = last_tick_at + self._draw_role_check_delay_s()
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             now = self._loop.time()
             elapsed_s, last_tick_at = now - last_tick_at, now
             self._local_endpoint.refuse_expired(now)
             self._local_endpoint.queue.update_utilization(elapsed_s)
-            self._forwarder.admission.update(elapsed_s)
-            if now >= next_state_at:
-                next_state_at = now + STATE_INTERVAL_S
+            if now >= last_admission_at + ADMISSION_INTERVAL_S:
+                self._forwarder.admission.update(now, now - last_admission_at)
+                last_admission_at = now
+            if now >= next_report_at:
+                next_report_at = now + peer_server.REPORT_ROUND_INTERVAL_S
                 self._broadcast_state()
-                self._edges_to_send = ()
+                self._peer_server.send_reports()
             if now >= next_peers_at:
                 next_peers_at = now + PEER_CHECK_INTERVAL_S
-                self._tick_peers(now)
+                self._peers.tick(now)
+                self._request_newer_config(now)
+            if now >= next_role_at:
+                next_role_at = now + self._draw_role_check_delay_s()
+                self._update_config_role(now)
             if now >= next_edges_at:
                 next_edges_at = now + EDGE_REFRESH_INTERVAL_S
-                self._refresh_edges(now)
+                self._refresh_edges()
             if now >= next_sweep_at:
                 next_sweep_at = now + SWEEP_INTERVAL_S
                 self._outbound_server.close_timed_out(now)
                 self._log_load()
             self._log.flush()
 
+    def _draw_role_check_delay_s(self) -> float:
+        """Draws the time to the next check of the role, so that nodes take turns."""
+        return ROLE_CHECK_INTERVAL_S * self._rng.uniform(0.5, 1.5)
+
+    async def _introduce_itself(self) -> None:
+        """Introduces this node to the members that have not connected to it.
+
+        Most members that start at the same time connect during the delay.
+        """
+        while not self._store_watcher.nodes_listed:
+            await asyncio.sleep(peer_set.INTRODUCTION_DELAY_S)
+        delay_s = peer_set.INTRODUCTION_DELAY_S * self._rng.uniform(1.0, 2.0)
+        await asyncio.sleep(delay_s)
+        connected = self._peer_server.get_connected_addresses()
+        count = await self._peers.introduce(connected)
+        self._log.write("peer", "Introduced to members.", members=count)
+
     def _merge_edges(self, edges: list[call_graph.Edge]) -> None:
         for new_edge in self._graph.merge_edges(edges):
             self._log.write(
@@ -418,35 +524,19 @@
             shares=self._forwarder.admission.get_admitted_shares(),
         )
 
-    def _refresh_edges(self, now: float) -> None:
-        """Updates the edges counted here; sends them if they changed or are due."""
+    def _refresh_edges(self) -> None:
+        """Updates the edges counted here; they are sent if one has changed enough."""
         edges = self._graph.get_local_edges()
-        previous_calls = {
-            edge[:3]: edge.calls for edge in self._store_watcher.local_edges
-        }
-        self._store_watcher.local_edges = tuple(edges)
         self._local_endpoint.queue.makes_nested_calls = self._graph.makes_nested_calls()
-        changed = any(
-            abs(previous_calls.get(edge[:3], 0.0) - edge.calls)
+        self._store_watcher.local_edges = tuple(edges)
+        published_calls = {edge[:3]: edge.calls for edge in self._published_edges}
+        if any(
+            abs(published_calls.get(edge[:3], 0.0) - edge.calls)
             > EDGE_CHANGE_RATIO * edge.calls
             for edge in edges
-        )
-        if changed or now - self._edges_sent_at > EDGE_RESEND_INTERVAL_S:
-            self._edges_sent_at = now
+        ):
             self._merge_edges(edges)
-            self._edges_to_send = self._store_watcher.local_edges
-
-    def _tick_peers(self, now: float) -> None:
-        for address, peer in list(self._peers.items()):
-            peer.tick(now)
-            unreachable_since = peer.unreachable_since
-            if (
-                unreachable_since is not None
-                and now - unreachable_since > REMOVE_PEER_AFTER_S
-            ):
-                peer.close()
-                del self._peers[address]
-                self._endpoints.remove_node(address)
+            self._published_edges = tuple(edges)
 
     def _reload(self) -> None:
         try:
@@ -493,8 +583,7 @@
         self._log.flush()
         for task in self._tasks:
             task.cancel()
-        for peer in self._peers.values():
-            peer.close()
+        self._peers.close()
         await asyncio.sleep(0)
 
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
@@ -23,17 +23,18 @@
         self._shedders: dict[str, load_shedder.LoadShedder] = {}
         self.demand_keys: list[tuple[str, int]] = []
 
-    def update(self, elapsed_s: float) -> None:
+    def update(self, now: float, elapsed_s: float) -> None:
         """Updates the share of root requests that is admitted for each service.
 
+        :param now: time of the event loop, in seconds.
         :param elapsed_s: time in seconds since the last update.
         """
-        peer_demands = self._endpoints.get_peer_demands()
+        peer_demand = self._endpoints.estimate_peer_demand(now)
         self._extend_demand_keys()
         for service, (capacity, utilization) in self._endpoints.get_loads().items():
             shedder = self._get_shedder(service)
             shedder.update(
-                elapsed_s, capacity, utilization, peer_demands.get(service, ())
+                elapsed_s, capacity, utilization, peer_demand.get(service, {})
             )
 
     def get_admitted_shares(self) -> dict[str, dict[int, float]]:
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
@@ -1,13 +1,14 @@
 """Directory of the endpoints that this node can send requests to."""
 
 from .. import data
-from ..membership import connections
+from ..membership import connections, peer_set
 from ..serving import local_endpoint
 from . import endpoint_selection, failure_tracker, load_shedder
 
 LOCAL_NODE = ""
 SAME_ZONE_ROUND_TRIP_S = 0.0005
 OTHER_ZONE_ROUND_TRIP_S = 0.004
+MAX_REPORT_AGE_S = 1.2  # demand reported earlier may precede a burst
 
 
 class EndpointDirectory:
@@ -15,14 +16,14 @@
 
     :param settings: settings of the process.
     :param endpoint: endpoint beside this node.
-    :param peers: peers by address; the node updates this mapping.
+    :param peers: peers of this node.
     """
 
     def __init__(
         self,
         settings: data.Settings,
         endpoint: local_endpoint.LocalEndpoint,
-        peers: dict[str, connections.Peer],
+        peers: peer_set.PeerSet,
     ) -> None:
         self._settings = settings
         self._local_endpoint = endpoint
@@ -31,7 +32,7 @@
 
     def get_peer(self, address: str) -> connections.Peer | None:
         """Returns the peer at an address; None if there is none."""
-        return self._peers.get(address)
+        return self._peers.get_peer(address)
 
     def record_result(self, node: str, now: float, failure_weight: float) -> None:
         """Records the result of a request at an endpoint.
@@ -80,7 +81,7 @@
                 )
             )
         zone = self._settings.zone
-        for address, peer in self._peers.items():
+        for address, peer in self._peers.peers.items():
             state = peer.state
             if (
                 state is None
@@ -110,7 +111,7 @@
     ) -> bool:
         """Returns whether a service has an untried endpoint that is not suspect."""
         for candidate in self.get_candidates(service, tried_nodes, now):
-            peer = self._peers.get(candidate.node)
+            peer = self._peers.get_peer(candidate.node)
             if peer is None or not peer.is_suspect(now):
                 return True
         return False
@@ -120,33 +121,58 @@
         return 0.0 if tracker is None else tracker.get_ratio(now)
 
     def get_loads(self) -> dict[str, tuple[float, float]]:
-        """Returns capacity in requests per second and utilization by service."""
+        """Returns capacity in requests per second and utilization by service.
+
+        The capacity of a service of which this node has only a subset of peers is
+        extrapolated from these.
+        """
         totals: dict[str, tuple[float, float]] = {}
-        if self._local_endpoint.accepting or self._local_endpoint.lame_duck:
-            queue = self._local_endpoint.queue
-            capacity = queue.capacity
-            totals[self._settings.service] = (capacity, queue.utilization * capacity)
-        for peer in self._peers.values():
+        for peer in self._peers.peers.values():
             state = peer.state
             if state is None or not (peer.accepting or peer.lame_duck):
                 continue
-            capacity = max(1.0, peer.capacity)
+            ratio = self._peers.get_sampled_ratio(state.service)
+            capacity = max(1.0, peer.capacity) * ratio
             total_capacity, total_arrival_rate = totals.get(state.service, (0.0, 0.0))
             totals[state.service] = (
                 total_capacity + capacity,
                 total_arrival_rate + peer.utilization * capacity,
             )
+        if self._local_endpoint.accepting or self._local_endpoint.lame_duck:
+            queue = self._local_endpoint.queue
+            service = self._settings.service
+            total_capacity, total_arrival_rate = totals.get(service, (0.0, 0.0))
+            totals[service] = (
+                total_capacity + queue.capacity,
+                total_arrival_rate + queue.utilization * queue.capacity,
+            )
         return {
             name: (total_capacity, total_arrival_rate / total_capacity)
             for name, (total_capacity, total_arrival_rate) in totals.items()
         }
 
-    def get_peer_demands(self) -> dict[str, list[load_shedder.Demand]]:
-        """Returns the demand at each peer, by service."""
-        demands: dict[str, list[load_shedder.Demand]] = {}
-        for peer in self._peers.values():
-            if peer.state is None or not peer.connected:
+    def estimate_peer_demand(self, now: float) -> dict[str, load_shedder.Demand]:
+        """Estimates the demand at all other nodes, by service.
+
+        It is extrapolated from the peers that reported recently. Root requests arrive
+        at nodes of all services alike, so these peers are a random sample.
+
+        :param now: time of the event loop, in seconds.
+        """
+        totals: dict[str, dict[int, float]] = {}
+        sample_count = 0
+        for peer in self._peers.peers.values():
+            if not peer.connected or now - peer.reported_at > MAX_REPORT_AGE_S:
                 continue
+            sample_count += 1
             for service, demand in peer.demand.items():
-                demands.setdefault(service, []).append(demand)
-        return demands
+                total = totals.setdefault(service, {})
+                for rank, rate in demand.items():
+                    total[rank] = total.get(rank, 0.0) + rate
+        if not sample_count:
+            return {}
+        ratio = max(1.0, self._peers.estimate_live_count() / sample_count)
+        return {
+            service: {rank: rate * ratio for rank, rate in total.items()}
+            for service, total in totals.items()
+        }
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder.py
@@ -13,7 +13,7 @@
 is the highest.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 TARGET_UTILIZATION = 0.92
 DEMAND_AVERAGING_S = 0.8
@@ -74,14 +74,14 @@
         elapsed_s: float,
         capacity: float,
         utilization: float,
-        peer_demands: Iterable[Demand],
+        peer_demand: Demand,
     ) -> None:
         """Updates the admitted shares.
 
         :param elapsed_s: time in seconds since the last update.
         :param capacity: requests per second that the service can run.
         :param utilization: recent ratio of arriving work to the work that can be done.
-        :param peer_demands: demand at each of the other nodes.
+        :param peer_demand: demand at all other nodes together.
         """
         if elapsed_s <= 0:
             return
@@ -99,9 +99,8 @@
             max(MIN_CORRECTION_RATIO, self._capacity_correction + step * elapsed_s),
         )
         total_demand = dict(self._demand)
-        for demand in peer_demands:
-            for rank, rate in demand.items():
-                total_demand[rank] = total_demand.get(rank, 0.0) + rate
+        for rank, rate in peer_demand.items():
+            total_demand[rank] = total_demand.get(rank, 0.0) + rate
         available_per_s = capacity * TARGET_UTILIZATION * self._capacity_correction
         self._admitted_shares = compute_admitted_shares(total_demand, available_per_s)
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder_test.py
@@ -61,7 +61,7 @@
             demands = [dict(node.demand) for node in nodes]
             for index, node in enumerate(nodes):
                 node.update(
-                    UPDATE_INTERVAL_S, self.CAPACITY, utilization, [demands[1 - index]]
+                    UPDATE_INTERVAL_S, self.CAPACITY, utilization, demands[1 - index]
                 )
         return {
             rank: admitted_calls / (duration_s / 2)
@@ -91,7 +91,7 @@
         for requests in (12, 6, 2):
             for _ in range(requests):
                 refused += not shedder.admit_request(1, 1.0)
-            shedder.update(UPDATE_INTERVAL_S, 233.0, 0.1, [])
+            shedder.update(UPDATE_INTERVAL_S, 233.0, 0.1, {})
         assert refused == 0
 
 
@@ -104,7 +104,7 @@
             UPDATE_INTERVAL_S,
             1000.0,
             0.9,
-            [{1: 1000.0 * load_shedder.TARGET_UTILIZATION * 1.03}],
+            {1: 1000.0 * load_shedder.TARGET_UTILIZATION * 1.03},
         )
         assert 0.95 < shedder.admitted_shares[1] < 1.0
         return shedder
--- a/packages/catkintiller-standins/src/catkintiller_standins/emulator/policies.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/emulator/policies.py
@@ -1,6 +1,7 @@
 """Overload-control policies that an experiment compares."""
 
 import abc
+import collections
 import random
 
 from catkintiller_relay.routing import endpoint_selection, load_shedder
@@ -164,16 +165,15 @@
         ]
         for node in self._nodes:
             for service, shedder in self._shedders[node].items():
-                other_demands = [
-                    demands[service]
-                    for other_node, demands in enumerate(demands_by_node)
-                    if other_node != node and service in demands
-                ]
+                other_demand: collections.Counter[int] = collections.Counter()
+                for other_node, demands in enumerate(demands_by_node):
+                    if other_node != node:
+                        other_demand.update(demands.get(service, {}))
                 shedder.update(
                     elapsed_s,
                     capacities[service],
                     utilizations.get(service, 0.0),
-                    other_demands,
+                    other_demand,
                 )
 
 
