--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -456,6 +456,7 @@
     async def _run_periodic_tasks(self) -> None:
         last_tick_at = last_admission_at = self._loop.time()
         next_report_at = next_peers_at = next_sweep_at = next_edges_at = last_tick_at
+        was_accepting = self._local_endpoint.accepting
         next_role_at = last_tick_at + self._draw_role_check_delay_s()
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
@@ -463,6 +464,9 @@
             elapsed_s, last_tick_at = now - last_tick_at, now
             self._local_endpoint.refuse_expired(now)
             self._local_endpoint.queue.update_utilization(elapsed_s)
+            if self._local_endpoint.accepting is not was_accepting:
+                was_accepting = not was_accepting
+                self._broadcast_state()
             if now >= last_admission_at + ADMISSION_INTERVAL_S:
                 self._forwarder.admission.update(now, now - last_admission_at)
                 last_admission_at = now
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
@@ -14,6 +14,7 @@
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 KEEP_ALIVE_MARGIN_S = 1.5
 CONNECT_TIMEOUT_S = 1.0
+MAX_FAILED_CONNECTS = 3
 MAX_RESPONSE_BODY_BYTES = 64 * 1024 * 1024
 MISDIRECTED_REQUEST_STATUS = 421
 
@@ -107,6 +108,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Stores the transport and enables TCP keepalive."""
         self._transport = transport
+        self._pool.add(self)
         sockets.enable_keepalive(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -267,6 +269,8 @@
 
     :param address: ``IP:PORT`` of the endpoint.
     :param header_names: names of the headers that the node interprets.
+    :ivar failed_connects: attempts to connect that failed since the last one that
+        succeeded.
     :ivar opened_count: number of connections that were opened.
     :ivar stray_response_count: number of responses that matched no request.
     """
@@ -282,11 +286,21 @@
         self._host = host
         self._port = int(port)
         self._idle: list[EndpointConnection] = []
+        self._open: set[EndpointConnection] = set()
         self._tasks: set[asyncio.Task] = set()
         self.header_names = header_names
+        self.failed_connects = 0
         self.opened_count = 0
         self.stray_response_count = 0
 
+    @property
+    def is_endpoint_down(self) -> bool:
+        """Whether several attempts to connect failed and no connection is open.
+
+        An endpoint that has reached its limit of connections still has open ones.
+        """
+        return self.failed_connects >= MAX_FAILED_CONNECTS and not self._open
+
     def send(self, exchange: Exchange) -> None:
         """Sends a request on an idle connection, or on a new one if there is none."""
         now = self._loop.time()
@@ -307,8 +321,13 @@
         connection.idle_since = self._loop.time()
         self._idle.append(connection)
 
+    def add(self, connection: EndpointConnection) -> None:
+        """Adds a connection that was established."""
+        self._open.add(connection)
+
     def remove(self, connection: EndpointConnection) -> None:
         """Removes a closed connection from the pool."""
+        self._open.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
 
@@ -329,9 +348,11 @@
         try:
             _, connection = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
         except (TimeoutError, OSError):
+            self.failed_connects += 1
             reason = data.RefusalReason.UNREACHABLE
             exchange.complete(data.Outcome.NOT_RUN, reason)
             return
+        self.failed_connects = 0
         self.opened_count += 1
         if exchange.on_complete is None:
             self.release(connection)
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client_test.py
@@ -232,3 +232,44 @@
         completion = asyncio.run(asyncio.wait_for(run(), TIMEOUT_S))
         assert completion.outcome is data.Outcome.NOT_RUN
         assert completion.reason is data.RefusalReason.UNREACHABLE
+
+
+class TestEndpointDown:
+    """An endpoint that accepts no connections, and one that has enough of them."""
+
+    def fail_to_connect(self, *, other_connection: bool) -> bool:
+        """Sends requests to a port without a listener; returns ``is_endpoint_down``.
+
+        :param other_connection: whether a connection from before is still open.
+        """
+
+        async def run() -> bool:
+            server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            server.close()
+            await server.wait_closed()
+            loop = asyncio.get_running_loop()
+            pool = endpoint_client.EndpointConnectionPool(
+                loop, f"127.0.0.1:{port}", HEADERS
+            )
+            if other_connection:
+                pool.add(endpoint_client.EndpointConnection(pool))
+            for number in range(endpoint_client.MAX_FAILED_CONNECTS):
+                completed = loop.create_future()
+                pool.send(
+                    endpoint_client.Exchange(
+                        b"id%d" % number,
+                        b"",
+                        lambda *_, completed=completed: completed.set_result(None),
+                    )
+                )
+                await asyncio.wait_for(completed, TIMEOUT_S)
+            return pool.is_endpoint_down
+
+        return asyncio.run(run())
+
+    def test_endpoint_that_refuses_connections_is_down(self) -> None:
+        assert self.fail_to_connect(other_connection=False)
+
+    def test_full_endpoint_is_not_down(self) -> None:
+        assert not self.fail_to_connect(other_connection=True)
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_tracker.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_tracker.py
@@ -81,7 +81,7 @@
     def suspend(self) -> None:
         """Stops accepting requests until the next announcement.
 
-        Called when another endpoint turns out to use the address.
+        Called when another endpoint turns out to use the address, or none.
         """
         self._last_announced_at = float("-inf")
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
@@ -250,8 +250,13 @@
         counted_service_time_s = (
             service_time_s if outcome is data.Outcome.ANSWERED else None
         )
-        if status == endpoint_client.MISDIRECTED_REQUEST_STATUS:
+        if (
+            status == endpoint_client.MISDIRECTED_REQUEST_STATUS
+            or self._pool.is_endpoint_down
+        ):
             self._tracker.suspend()
+            self._pool.failed_connects = 0
+            self.refuse_queued()
         if counted_service_time_s is not None and status < 300:
             self._graph.record_run(execution.running_request)
         self._release_slot(execution, counted_service_time_s)
