--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -42,11 +42,13 @@
 class OutstandingAttempt(NamedTuple):
     """An attempt sent to a peer that has no result yet.
 
+    :param route: name of the route that the request matches.
     :param on_complete: called with the result.
     :param on_suspect: called at most once, when the peer becomes suspect; the result
         may still arrive afterwards.
     """
 
+    route: str
     on_complete: CompletionHandler
     on_suspect: SuspectHandler
 
@@ -152,6 +154,8 @@
         attempt = self.outstanding.pop(reply.number, None)
         if attempt is None:
             return
+        if reply.own_time_us:
+            self._peer.own_times_s[attempt.route] = reply.own_time_us / 1e6
         reason = data.RefusalReason(reply.reason) if reply.reason else None
         attempt.on_complete(
             local_endpoint.AttemptResult(
@@ -172,9 +176,10 @@
     :param address: address where it accepts connections of other nodes.
     :param hello: message that identifies this node on new connections.
     :ivar service_time_s: average service time of its endpoint, in seconds.
-    :ivar capacity: requests per second that its endpoint can run.
+    :ivar own_times_s: own times at its endpoint by route, in seconds.
+    :ivar capacity: number of requests that its endpoint runs concurrently.
     :ivar utilization: arriving work over the work that its endpoint can do.
-    :ivar demand: requests per second demanded at the peer, by service and rank.
+    :ivar demand: slots demanded at the peer, by service and rank.
     :ivar reported_at: time of the event loop of its last load report, in seconds.
     :ivar report_interval_s: time until its next load report, as it announced.
     :ivar sent_since_report: attempts sent to it since it last reported its load.
@@ -198,6 +203,7 @@
         self.state: frames.NodeState | None = None
         self.load = 0
         self.service_time_s = 0.0
+        self.own_times_s: dict[str, float] = {}
         self.capacity = 0.0
         self.utilization = 0.0
         self.demand: dict[str, dict[int, float]] = {}
@@ -233,6 +239,11 @@
         state = self.state
         return state is not None and state.protocol >= frames.LOAD_REQUEST_VERSION
 
+    @property
+    def reports_slots(self) -> bool:
+        """Whether the peer is connected and reports its demand in slots."""
+        return self.connected and self.handles_load_requests
+
     @property
     def accepting(self) -> bool:
         """Whether the peer's endpoint accepts new requests."""
@@ -258,7 +269,9 @@
         self._last_attempt_number += 1
         number = self._last_attempt_number
         connection = self._connection
-        connection.outstanding[number] = OutstandingAttempt(on_complete, on_suspect)
+        connection.outstanding[number] = OutstandingAttempt(
+            attempt.route, on_complete, on_suspect
+        )
         self.sent_since_report += 1
         connection.send(
             frames.Submit(
@@ -303,6 +316,9 @@
         elif isinstance(message, frames.NodeState):
             self.state = message
             self.zone = message.zone
+            self.own_times_s = {
+                route: own_us / 1e6 for route, own_us, _ in message.route_times
+            }
             self._handle_load_report(message.load_report)
             self._observer.handle_state(self, message)
         elif isinstance(message, frames.ConfigReply):
@@ -317,8 +333,8 @@
         self.utilization = report.utilization / frames.UTILIZATION_SCALE
         demand: dict[str, dict[int, float]] = {}
         demand_keys = self.state.demand_keys if self.state is not None else []
-        for (service, rank), rate in zip(demand_keys, report.demand, strict=False):
-            demand.setdefault(service, {})[rank] = float(rate)
+        for (service, rank), slots in zip(demand_keys, report.demand, strict=False):
+            demand.setdefault(service, {})[rank] = slots / frames.DEMAND_SCALE
         self.demand = demand
 
     def handle_connection_lost(self, connection: OutgoingConnection) -> None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
@@ -12,6 +12,7 @@
 PROTOCOL_VERSION = 3
 LOAD_REQUEST_VERSION = 3  # first protocol version with load requests
 UTILIZATION_SCALE = 1000
+DEMAND_SCALE = 1000
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 _LENGTH = struct.Struct(">I")
 
@@ -37,9 +38,9 @@
 
     :param load: requests that run or wait at the endpoint.
     :param service_time_us: average service time of the endpoint, in microseconds.
-    :param capacity: requests per second that the endpoint can run.
+    :param capacity: number of requests that the endpoint runs concurrently.
     :param utilization: arriving work over the work that can be done, in thousandths.
-    :param demand: requests per second demanded at the node, in the order of the
+    :param demand: slots demanded at the node, in thousandths, in the order of the
         ``demand_keys`` of the last node state.
     :param interval_ms: time until the next report to the receiver, in milliseconds; 0
         if the sender is of an older version.
@@ -71,6 +72,8 @@
     :param config_reading: value of a :class:`..data.ConfigReading`: whether the node
         reads configs from the store.
     :param protocol: protocol version of the sender.
+    :param route_times: own time and occupancy of the endpoint's requests by route, in
+        microseconds, see :mod:`..serving.service_times`.
     """
 
     instance: str
@@ -86,6 +89,7 @@
     load_report: LoadReport
     config_reading: int = 0
     protocol: int = 2
+    route_times: list[tuple[str, int, int]] = []
 
 
 class Submit(msgspec.Struct, tag=3, array_like=True):
@@ -127,6 +131,8 @@
     :param service_time_us: average service time of the endpoint, in microseconds.
     :param utilization: as in :class:`LoadReport`; negative if the sender is of an
         older version.
+    :param own_time_us: own time of the request's route at the endpoint, in
+        microseconds; 0 if not known.
     """
 
     number: int
@@ -138,6 +144,7 @@
     head: bytes
     body: bytes
     utilization: int = -1
+    own_time_us: int = 0
 
 
 class ConfigRequest(msgspec.Struct, tag=6, array_like=True):
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/node_state.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/node_state.py
@@ -31,6 +31,7 @@
         config_version: int,
         config_reading: data.ConfigReading,
         edges: tuple[call_graph.Edge, ...],
+        route_times: tuple[tuple[str, int, int], ...],
         report_interval_s: float,
     ) -> frames.NodeState:
         """Builds the node state.
@@ -38,6 +39,7 @@
         :param config_version: version of the config in force; 0 without one.
         :param config_reading: whether this node reads configs from the store.
         :param edges: edges of the call graph that were counted at this node.
+        :param route_times: see :class:`.frames.NodeState`.
         :param report_interval_s: time between load reports to a peer, in seconds.
         """
         current = self._tracker.current
@@ -55,6 +57,7 @@
             self.build_load_report(report_interval_s),
             config_reading,
             frames.PROTOCOL_VERSION,
+            list(route_times),
         )
 
     def record_change(self, state: frames.NodeState) -> bool:
@@ -76,8 +79,11 @@
         return frames.LoadReport(
             queue.load,
             int(queue.service_time_s * 1e6),
-            round(queue.capacity),
+            queue.concurrency_limit,
             round(queue.utilization * frames.UTILIZATION_SCALE),
-            self._admission.get_demand_per_s(),
+            [
+                round(slots * frames.DEMAND_SCALE)
+                for slots in self._admission.get_demand()
+            ],
             round(report_interval_s * 1000),
         )
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -93,6 +93,7 @@
         def send_reply(result: local_endpoint.AttemptResult) -> None:
             self._executions.pop(number, None)
             queue = self._server.local_endpoint.queue
+            own_s = self._server.get_own_s(message.route)
             self.send(
                 frames.Reply(
                     number,
@@ -104,6 +105,7 @@
                     result.head,
                     result.body,
                     round(queue.utilization * frames.UTILIZATION_SCALE),
+                    int(own_s * 1e6),
                 )
             )
 
@@ -156,6 +158,11 @@
         """Returns the addresses of the nodes that are connected."""
         return {connection.address for connection in self._connections}
 
+    def get_own_s(self, route: str) -> float:
+        """Returns the own time of a route at the endpoint; 0 if it is not known."""
+        times = self.local_endpoint.service_times
+        return times.get_own_s(self._loop.time(), route) or 0.0
+
     def broadcast(self, message: frames.Message) -> None:
         """Sends a message to all connected nodes."""
         if not self._connections:
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -27,6 +27,7 @@
 SWEEP_INTERVAL_S = 1.0
 EDGE_REFRESH_INTERVAL_S = 0.3
 EDGE_CHANGE_RATIO = 0.1
+ROUTE_TIME_CHANGE_RATIO = 0.25
 ROLE_CHECK_INTERVAL_S = 1.0
 CALL_GRAPH_KEEPER_COUNT = 3
 TOMBSTONE_WRITE_TIMEOUT_S = 0.4
@@ -81,6 +82,7 @@
         self._newer_config_seen_at: float | None = None
         self._config_requested_at = float("-inf")
         self._published_edges: tuple[call_graph.Edge, ...] = ()
+        self._published_times: tuple[tuple[str, int, int], ...] = ()
         self._stopping = asyncio.Event()
         self._stop_started_at = 0.0
         self._tasks: list[asyncio.Task] = []
@@ -210,6 +212,7 @@
             self._config_version,
             self._store_watcher.config_reading,
             self._published_edges,
+            self._published_times,
             self._peer_server.report_interval_s,
         )
 
@@ -361,6 +364,8 @@
         if not changed:
             return
         self._local_endpoint.queue.set_slots(current.slots)
+        if previous is not None and previous.start_ms != current.start_ms:
+            self._local_endpoint.service_times.clear()
         self._log.write(
             "announce",
             "Endpoint changed.",
@@ -484,6 +489,7 @@
             if now >= next_edges_at:
                 next_edges_at = now + EDGE_REFRESH_INTERVAL_S
                 self._refresh_edges()
+                self._refresh_route_times(now)
             if now >= next_sweep_at:
                 next_sweep_at = now + SWEEP_INTERVAL_S
                 self._outbound_server.close_timed_out(now)
@@ -531,7 +537,6 @@
     def _refresh_edges(self) -> None:
         """Updates the edges counted here; they are sent if one has changed enough."""
         edges = self._graph.get_local_edges()
-        self._local_endpoint.queue.makes_nested_calls = self._graph.makes_nested_calls()
         self._store_watcher.local_edges = tuple(edges)
         published_calls = {edge[:3]: edge.calls for edge in self._published_edges}
         if any(
@@ -542,6 +547,24 @@
             self._merge_edges(edges)
             self._published_edges = tuple(edges)
 
+    def _refresh_route_times(self, now: float) -> None:
+        """Updates the published service times if one has changed enough."""
+        times = [
+            (route, int(own_s * 1e6), int(occupancy_s * 1e6))
+            for route, own_s, occupancy_s in (
+                self._local_endpoint.service_times.iter_times(now)
+            )
+        ]
+        published = {route: values for route, *values in self._published_times}
+        if any(
+            abs(value - previous) > ROUTE_TIME_CHANGE_RATIO * previous
+            for route, *values in times
+            for value, previous in zip(
+                values, published.get(route, (0, 0)), strict=True
+            )
+        ):
+            self._published_times = tuple(times)
+
     def _reload(self) -> None:
         try:
             self._settings = self._platform.load_settings()
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
@@ -3,14 +3,16 @@
 from .. import data
 from . import call_graph, endpoint_directory, load_shedder
 
+DEFAULT_OCCUPANCY_S = 0.03  # until the first request of a route was answered
+
 
 class AdmissionController:
     """Decides which root requests that arrive at this node are admitted.
 
     :param endpoints: endpoints with their capacity and demand.
     :param graph: call graph of the routes.
-    :ivar demand_keys: service and rank of each figure of :meth:`get_demand_per_s`; new
-        ones are appended.
+    :ivar demand_keys: service and rank of each figure of :meth:`get_demand`; new ones
+        are appended.
     """
 
     def __init__(
@@ -21,6 +23,8 @@
         self._endpoints = endpoints
         self._graph = graph
         self._shedders: dict[str, load_shedder.LoadShedder] = {}
+        self._occupancies_s: dict[tuple[str, str], float] = {}
+        self._required_slots: dict[tuple[str, str], dict[str, float]] = {}
         self.demand_keys: list[tuple[str, int]] = []
 
     def update(self, now: float, elapsed_s: float) -> None:
@@ -30,12 +34,12 @@
         :param elapsed_s: time in seconds since the last update.
         """
         peer_demand = self._endpoints.estimate_peer_demand(now)
+        self._occupancies_s = self._endpoints.compute_occupancies_s(now)
+        self._required_slots.clear()
         self._extend_demand_keys()
-        for service, (capacity, utilization) in self._endpoints.get_loads().items():
+        for service, (slots, utilization) in self._endpoints.get_loads().items():
             shedder = self._get_shedder(service)
-            shedder.update(
-                elapsed_s, capacity, utilization, peer_demand.get(service, {})
-            )
+            shedder.update(elapsed_s, slots, utilization, peer_demand.get(service, {}))
 
     def get_admitted_shares(self) -> dict[str, dict[int, float]]:
         """Returns the admitted shares by service and rank, where they are limited."""
@@ -47,10 +51,10 @@
             if shedder.admitted_shares
         }
 
-    def get_demand_per_s(self) -> list[int]:
-        """Returns the demand at this node per second, in the order of demand_keys."""
+    def get_demand(self) -> list[float]:
+        """Returns the demand at this node in slots, in the order of demand_keys."""
         return [
-            round(self._shedders[service].demand.get(rank, 0.0))
+            self._shedders[service].demand.get(rank, 0.0)
             for service, rank in self.demand_keys
         ]
 
@@ -59,15 +63,27 @@
 
         :param service: service that the request itself is sent to.
         """
-        required_calls = {service: 1.0}
-        for name, calls in self._graph.get_downstream_calls(route.name).items():
-            required_calls[name] = required_calls.get(name, 0.0) + calls
         admitted = True
-        for name, calls in required_calls.items():
-            if not self._get_shedder(name).admit_request(route.rank, calls):
+        for name, slot_s in self._get_required_slots(route.name, service).items():
+            if not self._get_shedder(name).admit_request(route.rank, slot_s):
                 admitted = False
         return admitted
 
+    def _get_required_slots(self, route: str, service: str) -> dict[str, float]:
+        """Returns the slot-seconds that a request needs, by service."""
+        required = self._required_slots.get((route, service))
+        if required is None:
+            required = {service: self._get_occupancy_s(service, route)}
+            downstream = self._graph.get_downstream_routes(route)
+            for (name, callee), calls in downstream.items():
+                slot_s = calls * self._get_occupancy_s(name, callee)
+                required[name] = required.get(name, 0.0) + slot_s
+            self._required_slots[route, service] = required
+        return required
+
+    def _get_occupancy_s(self, service: str, route: str) -> float:
+        return self._occupancies_s.get((service, route), DEFAULT_OCCUPANCY_S)
+
     def _extend_demand_keys(self) -> None:
         for service, shedder in self._shedders.items():
             for rank in shedder.demand:
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
@@ -11,7 +11,6 @@
 DEADLINE_TOLERANCE_S = 0.004
 MAX_CANDIDATE_COUNT = 8
 MIN_RUN_COUNT = 3
-CALLER_MIN_CALLS_PER_RUN = 0.5
 EDGE_MIN_CALLS_PER_RUN = 0.05
 MAX_CALL_DEPTH = 16
 
@@ -41,7 +40,17 @@
     :ivar calls: number of nested calls that it has made, by route and service.
     """
 
-    __slots__ = ("calls", "deadline", "root_id", "number", "rank", "route")
+    __slots__ = (
+        "_nested_s",
+        "_open_call_count",
+        "_open_since",
+        "calls",
+        "deadline",
+        "number",
+        "rank",
+        "root_id",
+        "route",
+    )
 
     def __init__(
         self, number: int, route: str, rank: int, request_id: bytes, deadline: float
@@ -52,6 +61,26 @@
         self.root_id = get_root_id(request_id)
         self.deadline = deadline
         self.calls: dict[tuple[str, str], int] = {}
+        self._open_call_count = 0
+        self._open_since = 0.0
+        self._nested_s = 0.0
+
+    def begin_call(self, now: float) -> None:
+        """Records that it starts to wait for a nested call."""
+        if not self._open_call_count:
+            self._open_since = now
+        self._open_call_count += 1
+
+    def end_call(self, now: float) -> None:
+        """Records that a nested call has ended."""
+        self._open_call_count -= 1
+        if not self._open_call_count:
+            self._nested_s += now - self._open_since
+
+    def get_nested_s(self, now: float) -> float:
+        """Returns for how many seconds it has waited for nested calls."""
+        open_s = now - self._open_since if self._open_call_count else 0.0
+        return self._nested_s + open_s
 
 
 class RunningRequestIndex:
@@ -127,6 +156,7 @@
         self._nested_arrivals: dict[str, int] = {}
         self._edges: dict[tuple[str, str], Edge] = {}
         self._downstream_calls: dict[str, dict[str, float]] = {}
+        self._downstream_routes: dict[str, dict[tuple[str, str], float]] = {}
         self._callees: set[str] = set()
 
     def record_run(self, request: RunningRequest) -> None:
@@ -151,12 +181,6 @@
         key = (route, service)
         parent.calls[key] = parent.calls.get(key, 0) + 1
 
-    def makes_nested_calls(self) -> bool:
-        """Returns whether requests that run here often make nested calls."""
-        return sum(self._call_counts.values()) > CALLER_MIN_CALLS_PER_RUN * sum(
-            self._run_counts.values()
-        )
-
     def is_callee(self, route: str) -> bool:
         """Returns whether the requests of a route are nested calls."""
         return route in self._callees
@@ -192,30 +216,41 @@
             self._edges[edge.route, edge.callee] = edge
             self._callees.add(edge.callee)
         self._downstream_calls.clear()
+        self._downstream_routes.clear()
         return new_edges
 
     def get_downstream_calls(self, route: str) -> dict[str, float]:
         """Returns the mean number of downstream calls of a request, by service."""
         downstream_calls = self._downstream_calls.get(route)
         if downstream_calls is None:
-            downstream_calls = self._compute_downstream_calls(route, 0)
+            downstream_calls = {}
+            for (service, _), calls in self.get_downstream_routes(route).items():
+                downstream_calls[service] = downstream_calls.get(service, 0.0) + calls
             self._downstream_calls[route] = downstream_calls
         return downstream_calls
 
-    def _compute_downstream_calls(self, route: str, depth: int) -> dict[str, float]:
-        downstream_calls: dict[str, float] = {}
+    def get_downstream_routes(self, route: str) -> dict[tuple[str, str], float]:
+        """Returns the mean number of downstream calls, by service and callee."""
+        downstream_routes = self._downstream_routes.get(route)
+        if downstream_routes is None:
+            downstream_routes = self._compute_downstream_routes(route, 0)
+            self._downstream_routes[route] = downstream_routes
+        return downstream_routes
+
+    def _compute_downstream_routes(
+        self, route: str, depth: int
+    ) -> dict[tuple[str, str], float]:
+        downstream: dict[tuple[str, str], float] = {}
         if depth > MAX_CALL_DEPTH:
-            return downstream_calls
+            return downstream
         for edge in self._edges.values():
             if edge.route != route:
                 continue
-            downstream_calls[edge.service] = (
-                downstream_calls.get(edge.service, 0.0) + edge.calls
-            )
-            for service, calls in self._compute_downstream_calls(
+            key = (edge.service, edge.callee)
+            downstream[key] = downstream.get(key, 0.0) + edge.calls
+            for nested_key, calls in self._compute_downstream_routes(
                 edge.callee, depth + 1
             ).items():
-                downstream_calls[service] = (
-                    downstream_calls.get(service, 0.0) + edge.calls * calls
-                )
-        return downstream_calls
+                nested_calls = edge.calls * calls
+                downstream[nested_key] = downstream.get(nested_key, 0.0) + nested_calls
+        return downstream
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
@@ -52,12 +52,13 @@
         self._failure_trackers.pop(node, None)
 
     def get_candidates(
-        self, service: str, tried_nodes: set[str], now: float
+        self, service: str, route: str, tried_nodes: set[str], now: float
     ) -> list[endpoint_selection.Candidate]:
         """Returns the endpoints of a service that accept new requests.
 
         Endpoints beside a suspect node are returned only if there is no other.
 
+        :param route: name of the route, whose own times are compared.
         :param tried_nodes: addresses of nodes to leave out.
         """
         candidates = []
@@ -73,7 +74,7 @@
                     LOCAL_NODE,
                     queue.load,
                     queue.concurrency_limit,
-                    queue.service_time_s,
+                    self._local_endpoint.service_times.get_own_s(now, route),
                     self._local_endpoint.lame_duck,
                     True,
                     0.0,
@@ -97,7 +98,7 @@
                     address,
                     peer.load + peer.sent_since_report,
                     state.concurrency_limit,
-                    peer.service_time_s,
+                    peer.own_times_s.get(route),
                     peer.lame_duck,
                     same_zone,
                     SAME_ZONE_ROUND_TRIP_S if same_zone else OTHER_ZONE_ROUND_TRIP_S,
@@ -107,10 +108,10 @@
         return candidates or suspects
 
     def has_healthy_endpoint(
-        self, service: str, tried_nodes: set[str], now: float
+        self, service: str, route: str, tried_nodes: set[str], now: float
     ) -> bool:
         """Returns whether a service has an untried endpoint that is not suspect."""
-        for candidate in self.get_candidates(service, tried_nodes, now):
+        for candidate in self.get_candidates(service, route, tried_nodes, now):
             peer = self._peers.get_peer(candidate.node)
             if peer is None or not peer.is_suspect(now):
                 return True
@@ -121,9 +122,9 @@
         return 0.0 if tracker is None else tracker.get_ratio(now)
 
     def get_loads(self) -> dict[str, tuple[float, float]]:
-        """Returns capacity in requests per second and utilization by service.
+        """Returns the number of slots and the utilization by service.
 
-        The capacity of a service of which this node has only a subset of peers is
+        The slots of a service of which this node has only a subset of peers are
         extrapolated from these.
         """
         totals: dict[str, tuple[float, float]] = {}
@@ -132,25 +133,48 @@
             if state is None or not (peer.accepting or peer.lame_duck):
                 continue
             ratio = self._peers.get_sampled_ratio(state.service)
-            capacity = max(1.0, peer.capacity) * ratio
-            total_capacity, total_arrival_rate = totals.get(state.service, (0.0, 0.0))
+            slots = max(1.0, state.concurrency_limit) * ratio
+            total_slots, total_work = totals.get(state.service, (0.0, 0.0))
             totals[state.service] = (
-                total_capacity + capacity,
-                total_arrival_rate + peer.utilization * capacity,
+                total_slots + slots,
+                total_work + peer.utilization * slots,
             )
         if self._local_endpoint.accepting or self._local_endpoint.lame_duck:
             queue = self._local_endpoint.queue
             service = self._settings.service
-            total_capacity, total_arrival_rate = totals.get(service, (0.0, 0.0))
+            total_slots, total_work = totals.get(service, (0.0, 0.0))
             totals[service] = (
-                total_capacity + queue.capacity,
-                total_arrival_rate + queue.utilization * queue.capacity,
+                total_slots + queue.concurrency_limit,
+                total_work + queue.utilization * queue.concurrency_limit,
             )
         return {
-            name: (total_capacity, total_arrival_rate / total_capacity)
-            for name, (total_capacity, total_arrival_rate) in totals.items()
+            name: (total_slots, total_work / total_slots)
+            for name, (total_slots, total_work) in totals.items()
         }
 
+    def compute_occupancies_s(self, now: float) -> dict[tuple[str, str], float]:
+        """Computes for how many seconds a request holds a slot, by service and route.
+
+        Endpoints that are faster run more requests, so it is the harmonic mean over the
+        endpoints.
+
+        :param now: time of the event loop, in seconds.
+        """
+        rates: dict[tuple[str, str], list[float]] = {}
+        for peer in self._peers.peers.values():
+            state = peer.state
+            if state is None or not (peer.accepting or peer.lame_duck):
+                continue
+            for route, _, occupancy_us in state.route_times:
+                key = (state.service, route)
+                rates.setdefault(key, []).append(1e6 / max(1, occupancy_us))
+        if self._local_endpoint.accepting:
+            times = self._local_endpoint.service_times.iter_times(now)
+            for route, _, occupancy_s in times:
+                key = (self._settings.service, route)
+                rates.setdefault(key, []).append(1.0 / max(1e-6, occupancy_s))
+        return {key: len(each) / sum(each) for key, each in rates.items()}
+
     def estimate_peer_demand(self, now: float) -> dict[str, load_shedder.Demand]:
         """Estimates the demand at all other nodes, by service.
 
@@ -162,7 +186,7 @@
         totals: dict[str, dict[int, float]] = {}
         sample_count = 0
         for peer in self._peers.peers.values():
-            if not peer.connected or now - peer.reported_at > MAX_REPORT_AGE_S:
+            if not peer.reports_slots or now - peer.reported_at > MAX_REPORT_AGE_S:
                 continue
             sample_count += 1
             for service, demand in peer.demand.items():
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_selection.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_selection.py
@@ -17,6 +17,7 @@
 QUEUE_WAIT_FACTOR = 2.0
 OCCUPANCY_FACTOR = 0.2
 MIN_SUCCESS_RATIO = 0.05
+DEFAULT_SERVICE_TIME_S = 0.03
 
 
 class Candidate(NamedTuple):
@@ -25,7 +26,8 @@
     :param node: address of the node beside it.
     :param load: requests that run or wait there, including those in transit.
     :param concurrency_limit: number of requests that it runs concurrently.
-    :param service_time_s: typical time in seconds that a request runs there.
+    :param service_time_s: typical time in seconds that the request runs there, without
+        its nested calls; None if it is not known.
     :param lame_duck: whether its node is about to stop.
     :param same_zone: whether it is in the availability zone of this node.
     :param round_trip_s: time in seconds for sending a request and its response.
@@ -35,20 +37,28 @@
     node: str
     load: float
     concurrency_limit: int
-    service_time_s: float
+    service_time_s: float | None
     lame_duck: bool
     same_zone: bool
     round_trip_s: float
     failure_ratio: float
 
 
-def compute_expected_latency_s(candidate: Candidate) -> float:
-    """Computes the expected latency in seconds of one more request."""
+def compute_expected_latency_s(
+    candidate: Candidate, default_service_time_s: float
+) -> float:
+    """Computes the expected latency in seconds of one more request.
+
+    :param default_service_time_s: service time of endpoints where it is not known.
+    """
+    service_time_s = candidate.service_time_s
+    if service_time_s is None:
+        service_time_s = default_service_time_s
     occupancy = (candidate.load + 1.0) / max(1, candidate.concurrency_limit)
     queue_wait_ratio = QUEUE_WAIT_FACTOR * max(
         0.0, occupancy - MAX_OCCUPANCY_WITHOUT_WAIT
     )
-    endpoint_s = candidate.service_time_s * (
+    endpoint_s = service_time_s * (
         1.0 + queue_wait_ratio + OCCUPANCY_FACTOR * occupancy
     )
     success_ratio = max(MIN_SUCCESS_RATIO, 1.0 - candidate.failure_ratio)
@@ -74,10 +84,13 @@
     ]
     if not pool:
         return None
+    known_s = [each.service_time_s for each in pool if each.service_time_s is not None]
+    default_s = min(known_s, default=DEFAULT_SERVICE_TIME_S)
     return min(
         pool,
         key=lambda candidate: (
-            compute_expected_latency_s(candidate) * (1.0 + JITTER_RATIO * rng.random())
+            compute_expected_latency_s(candidate, default_s)
+            * (1.0 + JITTER_RATIO * rng.random())
         ),
     )
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -148,6 +148,9 @@
             pending.request_id, deadline
         )
         self._graph.record_arrival(route.name, pending.service, parent)
+        if parent is not None:
+            pending.parent = parent
+            parent.begin_call(now)
         pending.rank = route.rank if parent is None else parent.rank
         pending.is_nested_call = parent is not None or self._graph.is_callee(route.name)
         if now >= pending.expires_at:
@@ -176,7 +179,9 @@
 
     def _send_attempt(self, pending: PendingRequest, now: float) -> None:
         candidate = endpoint_selection.select_endpoint(
-            self._endpoints.get_candidates(pending.service, pending.tried_nodes, now),
+            self._endpoints.get_candidates(
+                pending.service, pending.route.name, pending.tried_nodes, now
+            ),
             self._rng,
         )
         if candidate is None:
@@ -228,7 +233,7 @@
         ):
             return
         if not self._endpoints.has_healthy_endpoint(
-            pending.service, pending.tried_nodes, now
+            pending.service, pending.route.name, pending.tried_nodes, now
         ):
             return
         if (
@@ -384,6 +389,9 @@
                 connection.send(frames.Cancel(execution_or_number))
 
     def _release(self, pending: PendingRequest) -> None:
+        if pending.parent is not None:
+            pending.parent.end_call(self._loop.time())
+            pending.parent = None
         self._pending_count -= 1
         self._pending_body_bytes -= len(pending.request.body)
         if pending.expiry_timer is not None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder.py
@@ -9,8 +9,9 @@
 Handles bursts at twice the usual request rate, whose nested calls multiply on the way
 to the service that is saturated first.
 
-Demand is in requests per second at the service, nested calls included, by rank. Rank 0
-is the highest.
+Demand is in slots, the work that arrives per second at the service, nested calls
+included, by rank. Requests of one service differ many times in cost, so a number of
+requests would say little. Rank 0 is the highest.
 """
 
 from collections.abc import Mapping
@@ -55,12 +56,13 @@
         """Admitted shares by rank, for the ranks that are limited."""
         return self._admitted_shares
 
-    def admit_request(self, rank: int, calls: float) -> bool:
+    def admit_request(self, rank: int, slot_s: float) -> bool:
         """Counts a root request as demand and decides whether it is admitted.
 
-        :param calls: requests that it causes at the service, itself included.
+        :param slot_s: time for which it holds slots of the service, nested calls
+            included, in seconds.
         """
-        self._new_demand[rank] = self._new_demand.get(rank, 0.0) + calls
+        self._new_demand[rank] = self._new_demand.get(rank, 0.0) + slot_s
         share = self._admitted_shares.get(rank, 1.0)
         if share >= 1.0:
             return True
@@ -72,14 +74,14 @@
     def update(
         self,
         elapsed_s: float,
-        capacity: float,
+        slots: float,
         utilization: float,
         peer_demand: Demand,
     ) -> None:
         """Updates the admitted shares.
 
         :param elapsed_s: time in seconds since the last update.
-        :param capacity: requests per second that the service can run.
+        :param slots: number of requests that the service runs concurrently.
         :param utilization: recent ratio of arriving work to the work that can be done.
         :param peer_demand: demand at all other nodes together.
         """
@@ -101,8 +103,8 @@
         total_demand = dict(self._demand)
         for rank, rate in peer_demand.items():
             total_demand[rank] = total_demand.get(rank, 0.0) + rate
-        available_per_s = capacity * TARGET_UTILIZATION * self._capacity_correction
-        self._admitted_shares = compute_admitted_shares(total_demand, available_per_s)
+        available_slots = slots * TARGET_UTILIZATION * self._capacity_correction
+        self._admitted_shares = compute_admitted_shares(total_demand, available_slots)
 
     def _update_demand(self, elapsed_s: float) -> None:
         self._age_s += elapsed_s
@@ -116,26 +118,26 @@
 
 
 def compute_admitted_shares(
-    total_demand: Demand, available_per_s: float
+    total_demand: Demand, available_slots: float
 ) -> dict[int, float]:
     """Computes the share of each rank that can be admitted, highest rank first.
 
     A small part of each rank's demand is reserved, so that no rank is starved.
 
     :param total_demand: demand at all nodes together.
-    :param available_per_s: requests per second that the service can run.
+    :param available_slots: slots of the service that may be used.
     :returns: shares of the ranks that cannot be admitted in full.
     """
     shares = {}
     reserved = {
         rank: RESERVED_DEMAND_RATIO * demand for rank, demand in total_demand.items()
     }
-    remaining_per_s = max(0.0, available_per_s - sum(reserved.values()))
+    remaining_slots = max(0.0, available_slots - sum(reserved.values()))
     for rank in sorted(total_demand):
         demand = total_demand[rank]
-        granted_per_s = min(demand - reserved[rank], remaining_per_s)
-        remaining_per_s -= granted_per_s
-        granted_per_s += reserved[rank]
-        if granted_per_s < demand:
-            shares[rank] = granted_per_s / demand
+        granted_slots = min(demand - reserved[rank], remaining_slots)
+        remaining_slots -= granted_slots
+        granted_slots += reserved[rank]
+        if granted_slots < demand:
+            shares[rank] = granted_slots / demand
     return shares
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/pending_request.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/pending_request.py
@@ -6,6 +6,7 @@
 
 from .. import data
 from ..ingress import http1
+from . import call_graph
 
 
 class PendingRequest:
@@ -18,6 +19,7 @@
     :ivar endpoint_attempt_count: attempts that may have reached an endpoint.
     :ivar redispatch_count: attempts that reached no endpoint.
     :ivar may_have_run: whether the outcome of at least one attempt is unknown.
+    :ivar parent: running request that waits for this nested call, if known.
     :ivar is_nested_call: whether an endpoint sent it while it ran another request.
     :ivar last_reason: why the last attempt got no response; NO_ENDPOINT before the
         first attempt.
@@ -37,6 +39,7 @@
         "head",
         "last_reason",
         "outstanding",
+        "parent",
         "rank",
         "redispatch_count",
         "request",
@@ -69,6 +72,7 @@
         self.endpoint_attempt_count = 0
         self.redispatch_count = 0
         self.may_have_run = False
+        self.parent: call_graph.RunningRequest | None = None
         self.is_nested_call = False
         self.rank = 0
         self.tried_nodes: set[str] = set()
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_queue.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_queue.py
@@ -18,8 +18,6 @@
 # reach the sender before the deadline.
 RESPONSE_MARGIN_S = 0.06
 UTILIZATION_TIME_CONSTANT_S = 0.3
-BASELINE_TIME_CONSTANT_S = 20.0
-MIN_SERVICE_TIME_S = 0.001
 MAX_UTILIZATION_RATIO = 4.0
 # Expected wait in the queue that adds 1.0 to the utilization, like a full set of slots.
 FULL_UTILIZATION_WAIT_S = 0.05
@@ -45,10 +43,7 @@
 
 
 class EndpointQueue:
-    """Slots of the local endpoint and the requests that wait for a slot.
-
-    :ivar makes_nested_calls: whether requests here usually make nested calls.
-    """
+    """Slots of the local endpoint and the requests that wait for a slot."""
 
     def __init__(self) -> None:
         self._concurrency_limit = 0
@@ -57,11 +52,9 @@
         self._removed_numbers: set[int] = set()
         self._service_time_s = INITIAL_SERVICE_TIME_S
         self._last_number = 0
-        self._baseline_service_time_s: float | None = None
         self._utilization = 0.0
-        self.makes_nested_calls = False
         self._refused_count = 0
-        self._arrived_count = 0
+        self._arrived_work_s = 0.0
 
     @property
     def concurrency_limit(self) -> int:
@@ -88,18 +81,6 @@
         """Moving average of the time that a request takes at the endpoint."""
         return self._service_time_s
 
-    @property
-    def capacity(self) -> float:
-        """Requests per second that the endpoint can process.
-
-        If requests make nested calls, the baseline of the service time is used, since
-        the current service time grows with the load of downstream services.
-        """
-        service_time_s = self._service_time_s
-        if self.makes_nested_calls and self._baseline_service_time_s is not None:
-            service_time_s = self._baseline_service_time_s
-        return self._concurrency_limit / max(MIN_SERVICE_TIME_S, service_time_s)
-
     @property
     def utilization(self) -> float:
         """Recent ratio of arriving work to the work that can be done.
@@ -134,6 +115,7 @@
         remaining_s: float,
         target_latency_s: float,
         item: Any,
+        work_s: float | None = None,
     ) -> tuple[bool, int | None]:
         """Occupies a slot for a request, queues it or refuses it.
 
@@ -143,10 +125,12 @@
         :param remaining_s: time until the deadline, in seconds.
         :param target_latency_s: target for the response time, in seconds.
         :param item: request that the queue returns when it runs or expires.
+        :param work_s: time in seconds for which it will hold a slot; None for the
+            average of all requests.
         :returns: (True, None) if it gets a slot, (False, number) if it is queued,
             (False, None) if it is refused.
         """
-        self._arrived_count += 1
+        self._arrived_work_s += self._service_time_s if work_s is None else work_s
         if self._running_count < self._concurrency_limit and not self.queued_count:
             self._running_count += 1
             return True, None
@@ -236,31 +220,18 @@
         if elapsed_s <= 0:
             return
         concurrency_limit = max(1, self._concurrency_limit)
-        arrival_utilization = self._arrived_count / elapsed_s / max(1.0, self.capacity)
-        self._update_baseline(elapsed_s)
+        arrival_utilization = self._arrived_work_s / elapsed_s / concurrency_limit
         full_utilization_wait_s = max(FULL_UTILIZATION_WAIT_S, self._service_time_s)
         queue_wait_s = self.queued_count * self._service_time_s / concurrency_limit
         occupancy = (
             self._running_count / concurrency_limit
             + queue_wait_s / full_utilization_wait_s
         )
-        self._arrived_count = 0
+        self._arrived_work_s = 0.0
         sample = min(MAX_UTILIZATION_RATIO, max(arrival_utilization, occupancy))
         weight = min(1.0, elapsed_s / UTILIZATION_TIME_CONSTANT_S)
         self._utilization += weight * (sample - self._utilization)
 
-    def _update_baseline(self, elapsed_s: float) -> None:
-        if (
-            self._baseline_service_time_s is None
-            or self._service_time_s < self._baseline_service_time_s
-        ):
-            self._baseline_service_time_s = self._service_time_s
-            return
-        weight = min(1.0, elapsed_s / BASELINE_TIME_CONSTANT_S)
-        self._baseline_service_time_s += weight * (
-            self._service_time_s - self._baseline_service_time_s
-        )
-
     def pop_refused_count(self) -> int:
         """Returns the number of refusals since the last call and resets it."""
         refused_count, self._refused_count = self._refused_count, 0
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
@@ -6,7 +6,7 @@
 
 from .. import data
 from ..routing import call_graph
-from . import endpoint_client, endpoint_queue, endpoint_tracker
+from . import endpoint_client, endpoint_queue, endpoint_tracker, service_times
 
 MIN_REMAINING_S = 0.005
 
@@ -104,6 +104,7 @@
         :class:`..telemetry.metrics.Metrics`.
     :ivar running_requests: requests that run at the endpoint.
     :ivar queue: requests that are queued for the endpoint.
+    :ivar service_times: service times of the endpoint by route.
     :ivar stopping: whether this node is about to stop.
     :ivar lame_duck_ended: whether this node no longer accepts requests as a lame duck.
     """
@@ -123,6 +124,7 @@
         self._metrics = metrics
         self.running_requests = call_graph.RunningRequestIndex()
         self.queue = endpoint_queue.EndpointQueue()
+        self.service_times = service_times.ServiceTimes()
         self.stopping = False
         self.lame_duck_ended = False
 
@@ -167,6 +169,7 @@
             remaining_s=attempt.remaining_s,
             target_latency_s=attempt.target_latency_s,
             item=execution,
+            work_s=self.service_times.get_occupancy_s(attempt.route),
         )
         if has_slot:
             self._start(execution, now)
@@ -246,7 +249,8 @@
         head: bytes,
         body: bytes,
     ) -> None:
-        service_time_s = self._loop.time() - execution.started_at
+        now = self._loop.time()
+        service_time_s = now - execution.started_at
         counted_service_time_s = (
             service_time_s if outcome is data.Outcome.ANSWERED else None
         )
@@ -258,7 +262,11 @@
             self._pool.failed_connects = 0
             self.refuse_queued()
         if counted_service_time_s is not None and status < 300:
-            self._graph.record_run(execution.running_request)
+            running_request = execution.running_request
+            self._graph.record_run(running_request)
+            own_s = max(0.0, service_time_s - running_request.get_nested_s(now))
+            route = execution.attempt.route
+            self.service_times.record(now, route, service_time_s, own_s)
         self._release_slot(execution, counted_service_time_s)
         on_complete, execution.on_complete = execution.on_complete, None
         if on_complete is not None:
