--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/store_watcher.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/store_watcher.py
@@ -127,8 +127,7 @@
                 if offset is None:
                     record = await self._store.read_config()
                     offset = 0 if record is None else record.offset + 1
-                    if record is not None:
-                        wait_s = FIRST_POLL_DELAY_S
+                    wait_s = FIRST_POLL_DELAY_S
                 else:
                     record = await self._store.wait_for_config(
                         offset, CONFIG_POLL_TIMEOUT_S
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -390,8 +390,6 @@
 
     def _update_config_role(self, now: float) -> None:
         """Starts or stops reading configs from the store, see :mod:`.config_role`."""
-        if self._config is None:
-            return
         previous = self._store_watcher.config_reading
         peers = [
             config_role.PeerReading(
