--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -179,10 +179,7 @@
 
     def _send_attempt(self, pending: PendingRequest, now: float) -> None:
         candidate = endpoint_selection.select_endpoint(
-            self._endpoints.get_candidates(
-                pending.service, pending.route.name, pending.tried_nodes, now
-            ),
-            self._rng,
+            self._get_candidates(pending, now), self._rng
         )
         if candidate is None:
             self._send_failure(pending, pending.last_reason)
@@ -219,6 +216,24 @@
         peer = self._endpoints.get_peer(node)
         pending.outstanding[node] = peer.submit(attempt, handle_result, handle_suspect)
 
+    def _get_candidates(
+        self, pending: PendingRequest, now: float
+    ) -> list[endpoint_selection.Candidate]:
+        """Returns the endpoints that a request may be sent to.
+
+        When it has reached as many as its route allows, these are the ones that
+        rejected it.
+        """
+        excluded = pending.tried_nodes
+        if pending.has_reached_all_endpoints:
+            excluded = pending.tried_nodes - pending.rejecting_nodes
+        candidates = self._endpoints.get_candidates(
+            pending.service, pending.route.name, excluded, now
+        )
+        if not pending.has_reached_all_endpoints:
+            return candidates
+        return [each for each in candidates if each.node in pending.rejecting_nodes]
+
     def _send_hedged_attempt(self, pending: PendingRequest, node: str) -> None:
         """Sends a hedged attempt while the node of the first one is suspect.
 
@@ -268,6 +283,9 @@
         )
         if reached_endpoint:
             pending.endpoint_attempt_count += 1
+            pending.reached_nodes.add(node)
+            if outcome is data.Outcome.NOT_RUN:
+                pending.rejecting_nodes.add(node)
             self._endpoints.record_result(node, now, failure_tracker.FAILED_WEIGHT)
         if outcome is data.Outcome.UNKNOWN:
             pending.may_have_run = True
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/pending_request.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/pending_request.py
@@ -17,6 +17,8 @@
         in seconds.
     :ivar max_attempts: number of attempts that the route allows.
     :ivar endpoint_attempt_count: attempts that may have reached an endpoint.
+    :ivar reached_nodes: addresses of the nodes beside these endpoints.
+    :ivar rejecting_nodes: those of them whose endpoints said that they did not run it.
     :ivar redispatch_count: attempts that reached no endpoint.
     :ivar may_have_run: whether the outcome of at least one attempt is unknown.
     :ivar parent: running request that waits for this nested call, if known.
@@ -41,7 +43,9 @@
         "outstanding",
         "parent",
         "rank",
+        "reached_nodes",
         "redispatch_count",
+        "rejecting_nodes",
         "request",
         "request_id",
         "route",
@@ -76,9 +80,17 @@
         self.is_nested_call = False
         self.rank = 0
         self.tried_nodes: set[str] = set()
+        self.reached_nodes: set[str] = set()
+        self.rejecting_nodes: set[str] = set()
         self.outstanding: dict[str, tuple[Any, Any]] = {}
         self.expiry_timer: asyncio.TimerHandle | None = None
 
+    @property
+    def has_reached_all_endpoints(self) -> bool:
+        """Whether it has been sent to as many endpoints as its route allows."""
+        reached_count = len(self.reached_nodes | self.outstanding.keys())
+        return reached_count >= self.max_attempts
+
     def cancel(self) -> None:
         """Handles the disconnect of the client."""
         self.on_client_disconnect(self)
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_policy.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_policy.py
@@ -1,4 +1,10 @@
-"""Decides whether a request is retried."""
+"""Decides whether a request is retried.
+
+A route limits the number of endpoints that a request may be sent to. An endpoint that
+rejected a request did not run it, so the request may be sent there again. This serves a
+service whose endpoints all reject a part of their requests: the budget is spent on as
+many sends as a request needs, not on two for each.
+"""
 
 import enum
 
@@ -6,6 +12,7 @@
 from . import call_graph, pending_request, retry_budget
 
 MIN_REMAINING_S = 0.05
+MAX_SEND_COUNT = 6
 
 
 class RetryDecision(enum.Enum):
@@ -45,9 +52,9 @@
         self, pending: pending_request.PendingRequest, now: float
     ) -> RetryDecision:
         """Decides on a retry; charges it and its downstream calls if it is allowed."""
-        if (
-            pending.endpoint_attempt_count + len(pending.outstanding)
-            >= pending.max_attempts
+        send_count = pending.endpoint_attempt_count + len(pending.outstanding)
+        if pending.has_reached_all_endpoints and (
+            not pending.rejecting_nodes or send_count >= MAX_SEND_COUNT
         ):
             return RetryDecision.NO_ATTEMPTS
         if pending.expires_at - now <= MIN_REMAINING_S:
