--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -175,6 +175,7 @@
 
     :param address: address where it accepts connections of other nodes.
     :param hello: message that identifies this node on new connections.
+    :ivar load_known_at: time of the event loop when it last told its load, in seconds.
     :ivar service_time_s: average service time of its endpoint, in seconds.
     :ivar own_times_s: own times at its endpoint by route, in seconds.
     :ivar capacity: number of requests that its endpoint runs concurrently.
@@ -202,6 +203,7 @@
         self.hello = hello
         self.state: frames.NodeState | None = None
         self.load = 0
+        self.load_known_at = 0.0
         self.service_time_s = 0.0
         self.own_times_s: dict[str, float] = {}
         self.capacity = 0.0
@@ -301,6 +303,7 @@
         :param service_time_us: average service time, in microseconds.
         """
         self.load = load
+        self.load_known_at = self.loop.time()
         self.service_time_s = service_time_us / 1e6
         self.sent_since_report = 0
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
@@ -8,6 +8,7 @@
 LOCAL_NODE = ""
 SAME_ZONE_ROUND_TRIP_S = 0.0005
 OTHER_ZONE_ROUND_TRIP_S = 0.004
+MAX_COUNTED_UTILIZATION = 1.5  # one endpoint with a queue is no overload of all
 MAX_REPORT_AGE_S = 1.2  # demand reported earlier may precede a burst
 
 
@@ -103,6 +104,7 @@
                     same_zone,
                     SAME_ZONE_ROUND_TRIP_S if same_zone else OTHER_ZONE_ROUND_TRIP_S,
                     self._get_failure_ratio(address, now),
+                    now - peer.load_known_at,
                 )
             )
         return candidates or suspects
@@ -135,9 +137,10 @@
             ratio = self._peers.get_sampled_ratio(state.service)
             slots = max(1.0, state.concurrency_limit) * ratio
             total_slots, total_work = totals.get(state.service, (0.0, 0.0))
+            utilization = min(MAX_COUNTED_UTILIZATION, peer.utilization)
             totals[state.service] = (
                 total_slots + slots,
-                total_work + peer.utilization * slots,
+                total_work + utilization * slots,
             )
         if self._local_endpoint.accepting or self._local_endpoint.lame_duck:
             queue = self._local_endpoint.queue
@@ -145,7 +148,9 @@
             total_slots, total_work = totals.get(service, (0.0, 0.0))
             totals[service] = (
                 total_slots + queue.concurrency_limit,
-                total_work + queue.utilization * queue.concurrency_limit,
+                total_work
+                + min(MAX_COUNTED_UTILIZATION, queue.utilization)
+                * queue.concurrency_limit,
             )
         return {
             name: (total_slots, total_work / total_slots)
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_selection.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_selection.py
@@ -1,7 +1,9 @@
 """Selects the endpoint with the lowest expected latency for a request.
 
-Handles endpoints of one service that differ threefold in speed, and load reports that
-are a few milliseconds old.
+Handles endpoints of one service that differ threefold in speed. If the load of the
+endpoints is known as it was a few milliseconds ago, several of them are compared. With
+many nodes the load is known as it was many requests ago; then all nodes would send to
+the same endpoint that looks free, so only two random ones are compared.
 """
 
 import random
@@ -10,11 +12,14 @@
 
 SAME_ZONE_SAMPLE_COUNT = 3
 OTHER_ZONE_SAMPLE_COUNT = 2
+STALE_SAMPLE_COUNT = 1  # in each of both groups
+STALE_AFTER_S = 0.2
 LAME_DUCK_FACTOR = 2.0
 OTHER_ZONE_FACTOR = 1.2  # traffic between availability zones is expensive
 JITTER_RATIO = 0.1
 MAX_OCCUPANCY_WITHOUT_WAIT = 0.8
 QUEUE_WAIT_FACTOR = 2.0
+FULL_WAIT_FACTOR = 4.0  # in addition, for waiting while other endpoints have free slots
 OCCUPANCY_FACTOR = 0.2
 MIN_SUCCESS_RATIO = 0.05
 DEFAULT_SERVICE_TIME_S = 0.03
@@ -32,6 +37,7 @@
     :param same_zone: whether it is in the availability zone of this node.
     :param round_trip_s: time in seconds for sending a request and its response.
     :param failure_ratio: ratio of the requests that failed there recently.
+    :param load_age_s: time in seconds since the load was reported.
     """
 
     node: str
@@ -42,6 +48,7 @@
     same_zone: bool
     round_trip_s: float
     failure_ratio: float
+    load_age_s: float = 0.0
 
 
 def compute_expected_latency_s(
@@ -57,7 +64,7 @@
     occupancy = (candidate.load + 1.0) / max(1, candidate.concurrency_limit)
     queue_wait_ratio = QUEUE_WAIT_FACTOR * max(
         0.0, occupancy - MAX_OCCUPANCY_WITHOUT_WAIT
-    )
+    ) + FULL_WAIT_FACTOR * max(0.0, occupancy - 1.0)
     endpoint_s = service_time_s * (
         1.0 + queue_wait_ratio + OCCUPANCY_FACTOR * occupancy
     )
@@ -76,14 +83,21 @@
     :returns: the one with the lowest expected latency; None if there are no candidates.
     """
     same_zone, other_zone = [], []
+    age_sum_s = 0.0
     for candidate in candidates:
         (same_zone if candidate.same_zone else other_zone).append(candidate)
+        age_sum_s += candidate.load_age_s
+    if not same_zone and not other_zone:
+        return None
+    if age_sum_s > STALE_AFTER_S * (len(same_zone) + len(other_zone)):
+        same_zone_count = other_zone_count = STALE_SAMPLE_COUNT
+    else:
+        same_zone_count = SAME_ZONE_SAMPLE_COUNT
+        other_zone_count = OTHER_ZONE_SAMPLE_COUNT
     pool = [
-        *sample_candidates(same_zone, SAME_ZONE_SAMPLE_COUNT, rng),
-        *sample_candidates(other_zone, OTHER_ZONE_SAMPLE_COUNT, rng),
+        *sample_candidates(same_zone, same_zone_count, rng),
+        *sample_candidates(other_zone, other_zone_count, rng),
     ]
-    if not pool:
-        return None
     known_s = [each.service_time_s for each in pool if each.service_time_s is not None]
     default_s = min(known_s, default=DEFAULT_SERVICE_TIME_S)
     return min(
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_selection_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_selection_test.py
@@ -106,3 +106,115 @@
         latencies_s = sorted(self.simulate(0.8 * capacity, 3.0))
         assert latencies_s[int(0.99 * len(latencies_s))] < 0.2
         assert sum(latencies_s) / len(latencies_s) < 0.035
+
+
+class StaleLoadSimulation:
+    """Many callers of a service whose load they know as it was some time ago.
+
+    The endpoints differ threefold in speed. Each caller sends few requests and learns
+    the load of an endpoint from the replies and from rare reports.
+    """
+
+    CALLER_COUNT = 195
+    SPEEDS = (0.5, 1.0, 1.0, 1.5) * 3
+    SLOTS = 36
+    WORK_S = 0.14
+    REPORT_INTERVAL_S = 2.5
+
+    def __init__(self, utilization: float, seed: int = 3) -> None:
+        self.rng = random.Random(seed)
+        self.rate_per_s = utilization * self.SLOTS * sum(self.SPEEDS) / self.WORK_S
+        self.running = [0] * len(self.SPEEDS)
+        self.waiting = [0] * len(self.SPEEDS)
+        self.known = [
+            [(0.0, -self.rng.random()) for _ in self.SPEEDS]
+            for _ in range(self.CALLER_COUNT)
+        ]
+        self.busy_slot_s = 0.0
+        self.waited_count = 0
+        self.sent_count = 0
+
+    def select(self, caller: int, now: float) -> int:
+        """Selects an endpoint by what the caller knows."""
+        candidates = [
+            endpoint_selection.Candidate(
+                str(index),
+                load,
+                self.SLOTS,
+                self.WORK_S / speed,
+                False,
+                index % 5 == caller % 5,
+                0.0,
+                0.0,
+                now - known_at,
+            )
+            for index, (speed, (load, known_at)) in enumerate(
+                zip(self.SPEEDS, self.known[caller], strict=True)
+            )
+        ]
+        return int(endpoint_selection.select_endpoint(candidates, self.rng).node)
+
+    def run(self, duration_s: float) -> None:
+        """Runs for a time; endpoints report to each caller in turn."""
+        events: list[tuple[float, int, int]] = []
+        now = 0.0
+        while now < duration_s:
+            now += self.rng.expovariate(self.rate_per_s)
+            while events and events[0][0] <= now:
+                ended_at, index, caller = heapq.heappop(events)
+                self._end(ended_at, index, caller, events)
+            caller = self.rng.randrange(self.CALLER_COUNT)
+            reported = self.rng.randrange(len(self.SPEEDS))
+            if self.rng.random() < len(self.SPEEDS) * self.CALLER_COUNT / (
+                self.REPORT_INTERVAL_S * self.rate_per_s
+            ):
+                self._report(reported, self.rng.randrange(self.CALLER_COUNT), now)
+            self._send(self.select(caller, now), caller, now, events)
+
+    def _send(
+        self, index: int, caller: int, now: float, events: list[tuple[float, int, int]]
+    ) -> None:
+        self.sent_count += 1
+        load, known_at = self.known[caller][index]
+        self.known[caller][index] = (load + 1.0, known_at)
+        if self.running[index] >= self.SLOTS:
+            self.waiting[index] += 1
+            self.waited_count += 1
+            return
+        self._start(index, caller, now, events)
+
+    def _start(
+        self, index: int, caller: int, now: float, events: list[tuple[float, int, int]]
+    ) -> None:
+        self.running[index] += 1
+        work_s = self.WORK_S / self.SPEEDS[index] * self.rng.uniform(0.5, 1.5)
+        self.busy_slot_s += work_s
+        heapq.heappush(events, (now + work_s, index, caller))
+
+    def _end(
+        self, now: float, index: int, caller: int, events: list[tuple[float, int, int]]
+    ) -> None:
+        self.running[index] -= 1
+        self._report(index, caller, now)
+        if self.waiting[index]:
+            self.waiting[index] -= 1
+            self._start(index, caller, now, events)
+
+    def _report(self, index: int, caller: int, now: float) -> None:
+        load = self.running[index] + self.waiting[index]
+        self.known[caller][index] = (float(load), now)
+
+
+class TestStaleLoad:
+    """Load that is known late does not make all callers choose the same endpoint."""
+
+    def test_few_requests_wait_at_three_quarters_of_the_slots(self) -> None:
+        simulation = StaleLoadSimulation(0.75)
+        simulation.run(20.0)
+        assert simulation.waited_count < 0.25 * simulation.sent_count
+
+    def test_slots_are_used_when_nearly_all_are_needed(self) -> None:
+        simulation = StaleLoadSimulation(0.95)
+        simulation.run(20.0)
+        slot_s = 20.0 * simulation.SLOTS * len(simulation.SPEEDS)
+        assert simulation.busy_slot_s > 0.88 * slot_s
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder.py
@@ -22,9 +22,11 @@
 OVERLOAD_UTILIZATION = 1.1
 CORRECTION_DECREASE_PER_S = 0.8
 CORRECTION_INCREASE_PER_S = 0.4
+CORRECTION_RELAXATION_PER_S = 0.2
 MIN_CORRECTION_RATIO = 0.6
-MAX_CORRECTION_RATIO = 1.15
+MAX_CORRECTION_RATIO = 1.6
 RESERVED_DEMAND_RATIO = 0.06
+MAX_RESERVED_SLOTS_RATIO = 0.1  # refused requests return and inflate the demand
 INITIAL_CREDIT = 1.0
 
 Demand = Mapping[int, float]
@@ -88,24 +90,31 @@
         if elapsed_s <= 0:
             return
         self._update_demand(elapsed_s)
-        if utilization > OVERLOAD_UTILIZATION:
-            step = -CORRECTION_DECREASE_PER_S * min(
-                1.0, utilization - OVERLOAD_UTILIZATION
-            )
-        else:
-            step = CORRECTION_INCREASE_PER_S * (
-                1.0 if utilization < TARGET_UTILIZATION else 0.25
-            )
-        self._capacity_correction = min(
-            MAX_CORRECTION_RATIO,
-            max(MIN_CORRECTION_RATIO, self._capacity_correction + step * elapsed_s),
-        )
+        self._update_correction(elapsed_s, utilization)
         total_demand = dict(self._demand)
         for rank, rate in peer_demand.items():
             total_demand[rank] = total_demand.get(rank, 0.0) + rate
         available_slots = slots * TARGET_UTILIZATION * self._capacity_correction
         self._admitted_shares = compute_admitted_shares(total_demand, available_slots)
 
+    def _update_correction(self, elapsed_s: float, utilization: float) -> None:
+        """Adapts the correction while it matters; otherwise it returns to 1."""
+        correction = self._capacity_correction
+        if utilization > OVERLOAD_UTILIZATION:
+            excess = min(1.0, utilization - OVERLOAD_UTILIZATION)
+            correction -= CORRECTION_DECREASE_PER_S * excess * elapsed_s
+        elif self._admitted_shares or correction < 1.0:
+            rate_per_s = CORRECTION_INCREASE_PER_S
+            if utilization >= TARGET_UTILIZATION:
+                rate_per_s *= 0.25
+            correction += rate_per_s * elapsed_s
+        else:
+            step = CORRECTION_RELAXATION_PER_S * elapsed_s
+            correction = max(1.0, correction - step)
+        self._capacity_correction = min(
+            MAX_CORRECTION_RATIO, max(MIN_CORRECTION_RATIO, correction)
+        )
+
     def _update_demand(self, elapsed_s: float) -> None:
         self._age_s += elapsed_s
         averaging_s = min(DEMAND_AVERAGING_S, max(MIN_DEMAND_AVERAGING_S, self._age_s))
@@ -122,16 +131,19 @@
 ) -> dict[int, float]:
     """Computes the share of each rank that can be admitted, highest rank first.
 
-    A small part of each rank's demand is reserved, so that no rank is starved.
+    A small part of each rank's demand is reserved, so that no rank is starved, and no
+    more than a small part of the slots.
 
     :param total_demand: demand at all nodes together.
     :param available_slots: slots of the service that may be used.
     :returns: shares of the ranks that cannot be admitted in full.
     """
     shares = {}
-    reserved = {
-        rank: RESERVED_DEMAND_RATIO * demand for rank, demand in total_demand.items()
-    }
+    reserved_ratio = RESERVED_DEMAND_RATIO
+    demand_sum = sum(total_demand.values())
+    if demand_sum * reserved_ratio > MAX_RESERVED_SLOTS_RATIO * available_slots:
+        reserved_ratio = MAX_RESERVED_SLOTS_RATIO * available_slots / demand_sum
+    reserved = {rank: reserved_ratio * demand for rank, demand in total_demand.items()}
     remaining_slots = max(0.0, available_slots - sum(reserved.values()))
     for rank in sorted(total_demand):
         demand = total_demand[rank]
