--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
@@ -63,11 +63,10 @@
 
         :param service: service that the request itself is sent to.
         """
-        admitted = True
-        for name, slot_s in self._get_required_slots(route.name, service).items():
-            if not self._get_shedder(name).admit_request(route.rank, slot_s):
-                admitted = False
-        return admitted
+        required = self._get_required_slots(route.name, service)
+        for name in required:
+            self._get_shedder(name)
+        return load_shedder.admit_request(self._shedders, route.rank, required)
 
     def _get_required_slots(self, route: str, service: str) -> dict[str, float]:
         """Returns the slot-seconds that a request needs, by service."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder.py
@@ -22,11 +22,12 @@
 OVERLOAD_UTILIZATION = 1.1
 CORRECTION_DECREASE_PER_S = 0.8
 CORRECTION_INCREASE_PER_S = 0.4
+CORRECTION_CREEP_PER_S = 0.1
 CORRECTION_RELAXATION_PER_S = 0.2
 MIN_CORRECTION_RATIO = 0.6
 MAX_CORRECTION_RATIO = 1.6
 RESERVED_DEMAND_RATIO = 0.06
-MAX_RESERVED_SLOTS_RATIO = 0.1  # refused requests return and inflate the demand
+MAX_RESERVED_SLOTS_RATIO = 0.12  # refused requests return and inflate the demand
 INITIAL_CREDIT = 1.0
 
 Demand = Mapping[int, float]
@@ -58,14 +59,21 @@
         """Admitted shares by rank, for the ranks that are limited."""
         return self._admitted_shares
 
-    def admit_request(self, rank: int, slot_s: float) -> bool:
-        """Counts a root request as demand and decides whether it is admitted.
+    def get_share(self, rank: int) -> float:
+        """Returns the share of a rank's requests that is admitted."""
+        return self._admitted_shares.get(rank, 1.0)
+
+    def record_demand(self, rank: int, slot_s: float) -> None:
+        """Counts a root request as demand.
 
         :param slot_s: time for which it holds slots of the service, nested calls
             included, in seconds.
         """
         self._new_demand[rank] = self._new_demand.get(rank, 0.0) + slot_s
-        share = self._admitted_shares.get(rank, 1.0)
+
+    def decide(self, rank: int) -> bool:
+        """Decides whether a root request is admitted, by the share of its rank."""
+        share = self.get_share(rank)
         if share >= 1.0:
             return True
         credit = min(1.0, self._credits.get(rank, INITIAL_CREDIT)) + share
@@ -104,10 +112,12 @@
             excess = min(1.0, utilization - OVERLOAD_UTILIZATION)
             correction -= CORRECTION_DECREASE_PER_S * excess * elapsed_s
         elif self._admitted_shares or correction < 1.0:
-            rate_per_s = CORRECTION_INCREASE_PER_S
-            if utilization >= TARGET_UTILIZATION:
-                rate_per_s *= 0.25
-            correction += rate_per_s * elapsed_s
+            if utilization < TARGET_UTILIZATION:
+                correction += CORRECTION_INCREASE_PER_S * elapsed_s
+            elif utilization < 1.0:
+                correction += CORRECTION_CREEP_PER_S * elapsed_s
+            else:
+                correction -= CORRECTION_CREEP_PER_S * elapsed_s
         else:
             step = CORRECTION_RELAXATION_PER_S * elapsed_s
             correction = max(1.0, correction - step)
@@ -126,25 +136,46 @@
         self._new_demand.clear()
 
 
+def admit_request(
+    shedders: Mapping[str, LoadShedder], rank: int, required_slot_s: Mapping[str, float]
+) -> bool:
+    """Decides whether a root request is admitted to all services that it needs.
+
+    The service with the lowest share decides. The demand at the others counts only as
+    far as this one admits it: requests that are refused for one service do not take
+    room from those that do not need it.
+
+    :param shedders: shedders by service.
+    :param required_slot_s: slot-seconds that the request needs, by service.
+    """
+    limiting = min(required_slot_s, key=lambda name: shedders[name].get_share(rank))
+    share = shedders[limiting].get_share(rank)
+    for name, slot_s in required_slot_s.items():
+        weight = 1.0 if name == limiting else share
+        shedders[name].record_demand(rank, weight * slot_s)
+    return shedders[limiting].decide(rank)
+
+
 def compute_admitted_shares(
     total_demand: Demand, available_slots: float
 ) -> dict[int, float]:
     """Computes the share of each rank that can be admitted, highest rank first.
 
-    A small part of each rank's demand is reserved, so that no rank is starved, and no
-    more than a small part of the slots.
+    A small part of each rank's demand is admitted in any case, so that no rank is
+    starved. Only a small part of the slots is taken from higher ranks for that.
 
     :param total_demand: demand at all nodes together.
     :param available_slots: slots of the service that may be used.
     :returns: shares of the ranks that cannot be admitted in full.
     """
     shares = {}
-    reserved_ratio = RESERVED_DEMAND_RATIO
-    demand_sum = sum(total_demand.values())
-    if demand_sum * reserved_ratio > MAX_RESERVED_SLOTS_RATIO * available_slots:
-        reserved_ratio = MAX_RESERVED_SLOTS_RATIO * available_slots / demand_sum
-    reserved = {rank: reserved_ratio * demand for rank, demand in total_demand.items()}
-    remaining_slots = max(0.0, available_slots - sum(reserved.values()))
+    reserved = {
+        rank: RESERVED_DEMAND_RATIO * demand for rank, demand in total_demand.items()
+    }
+    reserved_slots = min(
+        sum(reserved.values()), MAX_RESERVED_SLOTS_RATIO * available_slots
+    )
+    remaining_slots = max(0.0, available_slots - reserved_slots)
     for rank in sorted(total_demand):
         demand = total_demand[rank]
         granted_slots = min(demand - reserved[rank], remaining_slots)
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder_test.py
@@ -9,6 +9,11 @@
 UPDATE_INTERVAL_S = 0.05
 
 
+def admit(shedder: load_shedder.LoadShedder, rank: int, slot_s: float) -> bool:
+    """Offers a request that needs one service."""
+    return load_shedder.admit_request({"stock": shedder}, rank, {"stock": slot_s})
+
+
 class TestShares:
     """Admitted shares by rank."""
 
@@ -52,7 +57,7 @@
             admitted_calls = 0.0
             for rank, rate in demand.items():
                 for _ in range(int(rate * UPDATE_INTERVAL_S / 4)):
-                    if rng.choice(nodes).admit_request(rank, 4.0):
+                    if admit(rng.choice(nodes), rank, 4.0):
                         admitted_calls += 4.0
                         if step >= steps // 2:
                             admitted[rank] = admitted.get(rank, 0.0) + 4.0
@@ -90,7 +95,7 @@
         refused = 0
         for requests in (12, 6, 2):
             for _ in range(requests):
-                refused += not shedder.admit_request(1, 1.0)
+                refused += not admit(shedder, 1, 1.0)
             shedder.update(UPDATE_INTERVAL_S, 233.0, 0.1, {})
         assert refused == 0
 
@@ -110,10 +115,35 @@
         return shedder
 
     def test_first_request_is_admitted(self) -> None:
-        assert self.build_limited_shedder().admit_request(1, 1.0)
+        assert admit(self.build_limited_shedder(), 1, 1.0)
 
     def test_share_is_kept_over_time(self) -> None:
         shedder = self.build_limited_shedder()
         share = shedder.admitted_shares[1]
-        admitted = sum(shedder.admit_request(1, 1.0) for _ in range(1000))
+        admitted = sum(admit(shedder, 1, 1.0) for _ in range(1000))
         assert admitted == pytest.approx(1000 * share, abs=2)
+
+
+class TestSeveralServices:
+    """Two kinds of the same rank, of which one needs a saturated service as well."""
+
+    def test_refused_requests_take_no_room_elsewhere(self) -> None:
+        shedders = {
+            "notes": load_shedder.LoadShedder(),
+            "bays": load_shedder.LoadShedder(),
+        }
+        slots = {"notes": 40.0, "bays": 40.0}
+        lookup = {"notes": 0.8, "bays": 0.4}
+        booking = {"bays": 0.4}
+        admitted = {"lookup": 0, "booking": 0}
+        for step in range(200):
+            for _ in range(10):  # 160 slots of notes and 80 of bays are demanded
+                if load_shedder.admit_request(shedders, 2, lookup) and step > 100:
+                    admitted["lookup"] += 1
+            for _ in range(2):
+                if load_shedder.admit_request(shedders, 2, booking) and step > 100:
+                    admitted["booking"] += 1
+            for name, shedder in shedders.items():
+                shedder.update(UPDATE_INTERVAL_S, slots[name], 0.95, {})
+        assert admitted["booking"] > 0.97 * 2 * 99
+        assert 0.1 * 10 * 99 < admitted["lookup"] < 0.5 * 10 * 99
--- a/packages/catkintiller-standins/src/catkintiller_standins/emulator/policies.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/emulator/policies.py
@@ -143,14 +143,10 @@
         self, node: int, kind: deployments.RequestKind, required_slots: RequiredSlots
     ) -> bool:
         """Counts a root request as demand and admits it if all its services do."""
-        admitted = True
-        for service, slot_s in required_slots.items():
-            shedder = self._shedders[node].setdefault(
-                service, load_shedder.LoadShedder()
-            )
-            if not shedder.admit_request(kind.rank, slot_s):
-                admitted = False
-        return admitted
+        shedders = self._shedders[node]
+        for service in required_slots:
+            shedders.setdefault(service, load_shedder.LoadShedder())
+        return load_shedder.admit_request(shedders, kind.rank, required_slots)
 
     def update_load(
         self,
