--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_budget.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_budget.py
@@ -18,13 +18,13 @@
 class BudgetShare(enum.Enum):
     """Part of the retry budget that a kind of request may use up.
 
-    The retry of a root request is of use by itself. A request with nested calls needs
-    all of these calls to succeed, so the retry of one of them gains less, and requests
-    of the highest rank come first.
+    Requests of the highest rank come first, their nested calls included. The retry of
+    another root request is of use by itself, while a request with nested calls needs
+    all of these calls to succeed, so the retry of one of them gains less.
     """
 
-    ROOT_REQUEST = 1.0
-    TOP_RANK_CALL = 0.85
+    HIGHEST_RANK = 1.0
+    ROOT_REQUEST = 0.5
     NESTED_CALL = 0.25
 
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_budget_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_budget_test.py
@@ -13,7 +13,7 @@
 
     def test_new_node_allows_no_retry(self) -> None:
         assert not retry_budget.RetryBudget(RATIO, WINDOW_S).allows_retry(
-            5.0, 1.0, retry_budget.BudgetShare.ROOT_REQUEST
+            5.0, 1.0, retry_budget.BudgetShare.HIGHEST_RANK
         )
 
     def test_sum_over_nodes_stays_below_the_ratio_in_every_window(self) -> None:
@@ -30,7 +30,7 @@
             node.record_first_attempt(now)
             first_attempts.append(now)
             while (
-                node.allows_retry(now, 1.0, retry_budget.BudgetShare.ROOT_REQUEST)
+                node.allows_retry(now, 1.0, retry_budget.BudgetShare.HIGHEST_RANK)
                 and rng.random() < 0.9
             ):
                 node.record_retry(now, 1.0)
@@ -57,19 +57,27 @@
         assert 0 < charged < RATIO * 100 * retry_budget.SAFETY_RATIO
         assert budget.allows_retry(1.0, 1.0, retry_budget.BudgetShare.ROOT_REQUEST)
 
+    def test_root_requests_leave_a_part_to_the_highest_rank(self) -> None:
+        budget = retry_budget.RetryBudget(RATIO, WINDOW_S)
+        for _ in range(100):
+            budget.record_first_attempt(1.0)
+        while budget.allows_retry(1.0, 1.0, retry_budget.BudgetShare.ROOT_REQUEST):
+            budget.record_retry(1.0, 1.0)
+        assert budget.allows_retry(1.0, 1.0, retry_budget.BudgetShare.HIGHEST_RANK)
+
     def test_cost_of_nested_calls_is_charged(self) -> None:
         budget = retry_budget.RetryBudget(RATIO, WINDOW_S)
         for _ in range(100):
             budget.record_first_attempt(1.0)
-        assert not budget.allows_retry(1.0, 18.0, retry_budget.BudgetShare.ROOT_REQUEST)
-        assert budget.allows_retry(1.0, 16.0, retry_budget.BudgetShare.ROOT_REQUEST)
+        assert not budget.allows_retry(1.0, 18.0, retry_budget.BudgetShare.HIGHEST_RANK)
+        assert budget.allows_retry(1.0, 16.0, retry_budget.BudgetShare.HIGHEST_RANK)
 
     def test_first_attempts_expire_with_the_window(self) -> None:
         budget = retry_budget.RetryBudget(RATIO, WINDOW_S)
         for _ in range(100):
             budget.record_first_attempt(1.0)
         assert not budget.allows_retry(
-            1.0 + 2 * WINDOW_S, 1.0, retry_budget.BudgetShare.ROOT_REQUEST
+            1.0 + 2 * WINDOW_S, 1.0, retry_budget.BudgetShare.HIGHEST_RANK
         )
 
 
@@ -121,6 +129,6 @@
 
     def test_highest_rank_gets_the_retries(self) -> None:
         equal_shares = self.simulate(retry_budget.BudgetShare.NESTED_CALL)
-        ranked_shares = self.simulate(retry_budget.BudgetShare.TOP_RANK_CALL)
+        ranked_shares = self.simulate(retry_budget.BudgetShare.HIGHEST_RANK)
         assert ranked_shares[True] > 1.5 * equal_shares[True]
         assert ranked_shares[True] > 3 * ranked_shares[False]
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_policy.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_policy.py
@@ -82,10 +82,10 @@
     def _get_budget_share(
         self, pending: pending_request.PendingRequest
     ) -> retry_budget.BudgetShare:
+        if pending.rank <= self._highest_rank:
+            return retry_budget.BudgetShare.HIGHEST_RANK
         if not pending.is_nested_call:
             return retry_budget.BudgetShare.ROOT_REQUEST
-        if pending.rank <= self._highest_rank:
-            return retry_budget.BudgetShare.TOP_RANK_CALL
         return retry_budget.BudgetShare.NESTED_CALL
 
     def _get_budget(self, service: str) -> retry_budget.RetryBudget:
