--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
@@ -15,7 +15,13 @@
 KEEP_ALIVE_MARGIN_S = 1.5
 CONNECT_TIMEOUT_S = 1.0
 MAX_FAILED_CONNECTS = 3
-MAX_RESPONSE_BODY_BYTES = 64 * 1024 * 1024
+# A body is held up to four times while it is passed on.
+MAX_RESPONSE_BODY_BYTES = 32 * 1024 * 1024
+MAX_BUFFERED_BODY_BYTES = 48 * 1024 * 1024
+# Bytes of a response outside its body: the head, interim responses, trailers and the
+# framing of chunks, of which small ones have many times the bytes of their content.
+MAX_OVERHEAD_BYTES = 64 * 1024
+MAX_FRAMING_RATIO = 8
 MISDIRECTED_REQUEST_STATUS = 421
 
 _DROPPED_HEADERS = frozenset(
@@ -95,6 +101,7 @@
         self._reason_phrase = b""
         self._body_chunks: list[bytes] = []
         self._body_bytes = 0
+        self._received_bytes = 0
         self._in_message = False
         self._head_complete = False
         self.idle_since = 0.0
@@ -120,29 +127,40 @@
         self._transport = None
         self._pool.remove(self)
         if self._exchange is None:
+            self._drop_body()
             return
         ends_with_connection = self._head_complete and not self._has_body_length()
         if exc is None and ends_with_connection:
             self._complete(reusable=False)
         self._fail(data.RefusalReason.CONNECTION_LOST)
+        self._drop_body()
 
     def data_received(self, received: bytes) -> None:
         """Feeds received bytes to the parser; aborts on unexpected or invalid ones."""
         if self._exchange is None:
             self.abort()
             return
+        self._received_bytes += len(received)
         try:
             self._parser.feed_data(received)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(data.RefusalReason.BROKEN_ANSWER)
             self.abort()
+            return
+        overhead_bytes = self._received_bytes - self._body_bytes
+        if (
+            self._exchange is not None
+            and overhead_bytes
+            > MAX_OVERHEAD_BYTES + MAX_FRAMING_RATIO * self._body_bytes
+        ):
+            self._fail(data.RefusalReason.BROKEN_ANSWER)
+            self.abort()
 
     def on_message_begin(self) -> None:
         """Resets the parser state for a new response."""
         self._headers = []
         self._reason_phrase = b""
-        self._body_chunks = []
-        self._body_bytes = 0
+        self._drop_body()
         self._in_message = True
         self._head_complete = False
         if self._exchange is None:
@@ -162,8 +180,14 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Appends a part of the body; fails the exchange above the size limit."""
+        if self._exchange is None:
+            return
         self._body_bytes += len(chunk)
-        if self._body_bytes > MAX_RESPONSE_BODY_BYTES:
+        self._pool.buffered_body_bytes += len(chunk)
+        if (
+            self._body_bytes > MAX_RESPONSE_BODY_BYTES
+            or self._pool.buffered_body_bytes > MAX_BUFFERED_BODY_BYTES
+        ):
             self._fail(data.RefusalReason.NO_MEMORY)
             self.abort()
             return
@@ -182,6 +206,7 @@
         :param now: time of the event loop in seconds.
         """
         self._exchange = exchange
+        self._received_bytes = 0
         exchange.connection = self
         exchange.started_at = now
         self._transport.write(exchange.message)
@@ -189,6 +214,7 @@
     def abort(self) -> None:
         """Aborts the connection and drops the outstanding exchange."""
         self._exchange = None
+        self._drop_body()
         if self._transport is not None:
             self._transport.abort()
 
@@ -219,6 +245,7 @@
         ):
             # The response is for another request; the expected one may still follow.
             self._pool.count_stray_response()
+            self._received_bytes = 0
             if not reusable or header_names.request_id not in headers:
                 self._fail(data.RefusalReason.BROKEN_ANSWER)
                 self.abort()
@@ -237,7 +264,7 @@
             exchange.complete(data.Outcome.UNKNOWN, reason, status)
             return
         body = b"".join(self._body_chunks)
-        self._body_chunks = []
+        self._drop_body()
         head = b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n" % (
             status,
             self._reason_phrase or b"Status",
@@ -255,6 +282,11 @@
         elif self._transport is not None:
             self._transport.close()
 
+    def _drop_body(self) -> None:
+        self._pool.buffered_body_bytes -= self._body_bytes
+        self._body_bytes = 0
+        self._body_chunks = []
+
     def _fail(self, reason: data.RefusalReason) -> None:
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
@@ -271,6 +303,7 @@
     :param header_names: names of the headers that the node interprets.
     :ivar failed_connects: attempts to connect that failed since the last one that
         succeeded.
+    :ivar buffered_body_bytes: bytes of the incomplete bodies of all connections.
     :ivar opened_count: number of connections that were opened.
     :ivar stray_response_count: number of responses that matched no request.
     """
@@ -290,6 +323,7 @@
         self._tasks: set[asyncio.Task] = set()
         self.header_names = header_names
         self.failed_connects = 0
+        self.buffered_body_bytes = 0
         self.opened_count = 0
         self.stray_response_count = 0
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client_test.py
@@ -234,6 +234,100 @@
         assert completion.reason is data.RefusalReason.UNREACHABLE
 
 
+class EndlessEndpoint:
+    """Sends bytes without end until the connection is closed.
+
+    :param start: bytes that are sent first; ``%b`` stands for the request ID.
+    :param repeated: bytes that are sent again and again.
+    """
+
+    def __init__(self, start: bytes, repeated: bytes) -> None:
+        self._start = start
+        self._repeated = repeated * (PIECE_BYTES // len(repeated))
+        self.sent_bytes = 0
+        self.closed = False
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answers a request."""
+        request_id = await read_request(reader)
+        writer.write(self._start.replace(b"%b", request_id))
+        try:
+            while True:
+                writer.write(self._repeated)
+                await writer.drain()
+                self.sent_bytes += len(self._repeated)
+        except ConnectionError:
+            self.closed = True
+
+
+PIECE_BYTES = 16 * 1024
+MAX_SENT_BEFORE_CLOSE_BYTES = 16 * 1024 * 1024  # buffers of the kernel included
+HEAD = b"HTTP/1.1 200 OK\r\nX-Id: %b\r\nX-Sign: s\r\n"
+CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+INTERIM = b"HTTP/1.1 102 Processing\r\n\r\n"
+
+
+class TestEndlessBytes:
+    """Bytes without end that are no response; memory and time stay bounded."""
+
+    def check(self, start: bytes, repeated: bytes, max_sent_bytes: int) -> None:
+        """Checks that the exchange fails and the connection is closed."""
+        endpoint = EndlessEndpoint(start, repeated)
+        (completion,), pool = send_requests(endpoint.serve)
+        assert completion.outcome is data.Outcome.UNKNOWN
+        assert completion.reason in (
+            data.RefusalReason.BROKEN_ANSWER,
+            data.RefusalReason.NO_MEMORY,
+        )
+        assert endpoint.closed
+        assert endpoint.sent_bytes <= max_sent_bytes
+        assert pool.buffered_body_bytes == 0
+
+    def test_head_line(self) -> None:
+        self.check(HEAD + b"X-Long: ", b"a", MAX_SENT_BEFORE_CLOSE_BYTES)
+
+    def test_status_line(self) -> None:
+        self.check(b"HTTP/1.1 200 ", b"a", MAX_SENT_BEFORE_CLOSE_BYTES)
+
+    def test_head_lines(self) -> None:
+        self.check(HEAD, b"X-More: 1\r\n", MAX_SENT_BEFORE_CLOSE_BYTES)
+
+    def test_interim_responses(self) -> None:
+        self.check(INTERIM, INTERIM, MAX_SENT_BEFORE_CLOSE_BYTES)
+
+    def test_chunk_extension(self) -> None:
+        self.check(CHUNKED_HEAD + b"2;a=", b"b", MAX_SENT_BEFORE_CLOSE_BYTES)
+
+    def test_trailers(self) -> None:
+        start = CHUNKED_HEAD + b"2\r\nhi\r\n0\r\n"
+        self.check(start, b"X-More: 1\r\n", MAX_SENT_BEFORE_CLOSE_BYTES)
+
+    def test_bytes_before_any_response(self) -> None:
+        self.check(b"\r\n", b"\r\n", MAX_SENT_BEFORE_CLOSE_BYTES)
+
+    def test_body_without_length(self) -> None:
+        self.check(
+            HEAD + b"\r\n",
+            b"a",
+            endpoint_client.MAX_RESPONSE_BODY_BYTES + MAX_SENT_BEFORE_CLOSE_BYTES,
+        )
+
+    def test_chunks(self) -> None:
+        self.check(
+            CHUNKED_HEAD,
+            b"400\r\n" + b"a" * 0x400 + b"\r\n",
+            endpoint_client.MAX_RESPONSE_BODY_BYTES + MAX_SENT_BEFORE_CLOSE_BYTES,
+        )
+
+    def test_small_chunks_are_no_fault(self) -> None:
+        chunks = b"1\r\na\r\n" * 60_000 + b"0\r\n\r\n"
+        (completion,), _ = send_requests(build_script(CHUNKED_HEAD, chunks))
+        assert completion.outcome is data.Outcome.ANSWERED
+        assert len(completion.body) == 60_000
+
+
 class TestEndpointDown:
     """An endpoint that accepts no connections, and one that has enough of them."""
 
