--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/config_sync.py
@@ -0,0 +1,91 @@
+"""Decides where this node gets its configs from, and gets them from peers."""
+
+import random
+from collections.abc import Callable
+
+from .. import data
+from ..telemetry import events
+from . import config_role, peer_set, store_watcher
+
+# Time that a node that reads the store waits for a config that a peer already has, and
+# time that a peer has to send a config before another one is asked.
+PEER_CONFIG_DELAY_S = 0.3
+PEER_CONFIG_TIMEOUT_S = 0.4
+
+
+class ConfigSync:
+    """Role of this node in reading configs, and its requests to peers.
+
+    :param own_address: address where this node accepts connections of other nodes.
+    :param on_role_change: called when the node starts or stops reading the store.
+    """
+
+    def __init__(
+        self,
+        own_address: str,
+        watcher: store_watcher.StoreWatcher,
+        peers: peer_set.PeerSet,
+        rng: random.Random,
+        log: events.EventLog,
+        on_role_change: Callable[[], None],
+    ) -> None:
+        self._own_address = own_address
+        self._store_watcher = watcher
+        self._peers = peers
+        self._rng = rng
+        self._log = log
+        self._on_role_change = on_role_change
+        self._newer_seen_at: float | None = None
+        self._requested_at = float("-inf")
+
+    def handle_config_applied(self) -> None:
+        """Allows the next request at once, since the last one has succeeded."""
+        self._requested_at = float("-inf")
+
+    def update_role(self, now: float) -> None:
+        """Starts or stops reading configs from the store, see :mod:`.config_role`.
+
+        :param now: time of the event loop, in seconds.
+        """
+        previous = self._store_watcher.config_reading
+        peers = [
+            config_role.PeerReading(peer.address, peer.config_reading)
+            for peer in self._peers.get_responsive_peers(now)
+        ]
+        reads = config_role.should_read_store(self._own_address, previous, peers)
+        if reads is (previous is not data.ConfigReading.FROM_PEERS):
+            return
+        self._store_watcher.set_config_reading(enabled=reads)
+        self._log.write(
+            "config",
+            "Reads configs from the store." if reads else "Gets configs from peers.",
+            peers=len(peers),
+        )
+        self._on_role_change()
+
+    def request_newer(self, now: float, version: int) -> None:
+        """Requests a config from one of the peers that have a newer one.
+
+        :param now: time of the event loop, in seconds.
+        :param version: version of the config in force; 0 without one.
+        """
+        peers = [
+            peer
+            for peer in self._peers.get_responsive_peers(now)
+            if peer.state.config_version > version
+        ]
+        if not peers:
+            self._newer_seen_at = None
+            return
+        if self._newer_seen_at is None:
+            self._newer_seen_at = now
+        reads_store = (
+            self._store_watcher.config_reading is data.ConfigReading.FROM_STORE
+        )
+        delay_s = PEER_CONFIG_DELAY_S if reads_store else 0.0
+        if (
+            now - self._newer_seen_at >= delay_s
+            and now - self._requested_at >= PEER_CONFIG_TIMEOUT_S
+        ):
+            self._requested_at = now
+            self._rng.choice(peers).request_config(version)
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -97,7 +97,8 @@
         """Handles the messages that are complete."""
         try:
             messages = self._decoder.feed(received)
-        except data.DecodeError:
+        except data.DecodeError as error:
+            self._peer.handle_invalid_message(str(error))
             self.abort()
             return
         self.last_received_at = self._peer.loop.time()
@@ -148,6 +149,14 @@
                 attempt.on_suspect()
 
     def _handle_reply(self, reply: frames.Reply) -> None:
+        try:
+            outcome = data.Outcome(reply.outcome)
+            reason = data.RefusalReason(reply.reason) if reply.reason else None
+        except ValueError:
+            # The attempt ends with the connection, its outcome unknown.
+            self._peer.handle_invalid_message(f"outcome {reply.outcome} {reply.reason}")
+            self.abort()
+            return
         self._peer.update_load(reply.load, reply.service_time_us)
         if reply.utilization >= 0:
             self._peer.utilization = reply.utilization / frames.UTILIZATION_SCALE
@@ -156,16 +165,9 @@
             return
         if reply.own_time_us:
             self._peer.own_times_s[attempt.route] = reply.own_time_us / 1e6
-        reason = data.RefusalReason(reply.reason) if reply.reason else None
         attempt.on_complete(
             local_endpoint.AttemptResult(
-                data.Outcome(reply.outcome),
-                reason,
-                reply.status,
-                reply.head,
-                reply.body,
-                0.0,
-                0.0,
+                outcome, reason, reply.status, reply.head, reply.body, 0.0, 0.0
             )
         )
 
@@ -241,6 +243,14 @@
         state = self.state
         return state is not None and state.protocol >= frames.LOAD_REQUEST_VERSION
 
+    @property
+    def config_reading(self) -> data.ConfigReading:
+        """How the peer gets its configs; from peers if it says something else."""
+        try:
+            return data.ConfigReading(self.state.config_reading)
+        except ValueError:
+            return data.ConfigReading.FROM_PEERS
+
     @property
     def reports_slots(self) -> bool:
         """Whether the peer is connected and reports its demand in slots."""
@@ -340,6 +350,10 @@
             demand.setdefault(service, {})[rank] = slots / frames.DEMAND_SCALE
         self.demand = demand
 
+    def handle_invalid_message(self, why: str) -> None:
+        """Reports a message that cannot be decoded; the connection is aborted."""
+        self._observer.handle_peer_event(self, f"sent an invalid message: {why}")
+
     def handle_connection_lost(self, connection: OutgoingConnection) -> None:
         """Handles the end of a connection to the peer."""
         if connection in self._replaced_connections:
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set.py
@@ -91,9 +91,12 @@
         return live_count
 
     def add_member(self, member: subsetting.Member) -> None:
-        """Adds a member or updates its service; connects to it if it is selected."""
+        """Adds a member or updates its service; connects to it if it is selected.
+
+        A member whose address is invalid is ignored.
+        """
         address = member.address
-        if address == self._settings.inbound:
+        if address == self._settings.inbound or not is_address(address):
             return
         known_service = self._services.get(address)
         if known_service == member.service or (known_service and not member.service):
@@ -249,6 +252,12 @@
         self._observer.handle_peer_removed(address)
 
 
+def is_address(text: str) -> bool:
+    """Returns whether a text has the form ``HOST:PORT``."""
+    host, _, port = text.rpartition(":")
+    return bool(host) and port.isdecimal() and 0 < int(port) < 65536
+
+
 def is_selected_by(
     caller: subsetting.Member,
     own: subsetting.Member,
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set_test.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Awaitable, Callable
 
-from .. import node_test
+from .. import data, node_test
 from ..routing import subsetting
 from . import connections, frames, peer_server, peer_set
 from .frames_test import CountingObserver
@@ -88,6 +88,15 @@
 
         run(check)
 
+    def test_invalid_address_is_ignored(self) -> None:
+        async def check() -> None:
+            peers = build_peer_set(RecordingObserver())
+            for address in ("", "host", ":80", "host:", "host:-1", "host:99999", "a:x"):
+                peers.add_member(subsetting.Member(address, "zone-1", "pay"))
+            assert peers.member_count == 0
+
+        run(check)
+
     def test_address_that_another_service_uses_now(self) -> None:
         async def check() -> None:
             peers = build_peer_set(RecordingObserver())
@@ -195,6 +204,42 @@
         self.writer.write(frames.encode(message))
 
 
+class TestInvalidMessages:
+    """A message that makes no sense ends the connection, not the process."""
+
+    def test_reply_with_an_unknown_outcome(self) -> None:
+        async def check() -> None:
+            loop = asyncio.get_running_loop()
+            server = SilentServer()
+            await server.start()
+            observer = CountingObserver()
+            hello = frames.Hello(frames.PROTOCOL_VERSION, "127.0.0.1:9", "z", "boot")
+            peer = connections.Peer(
+                loop, f"127.0.0.1:{server.port}", "z", hello, observer, random.Random()
+            )
+            peer.tick(loop.time())
+            await wait_until(lambda: server.writer is not None and peer.connected)
+            server.send(frames.Reply(1, 77, "no such reason", 0, 0, 0, b"", b""))
+            await wait_until(lambda: not peer.connected)
+            peer.close()
+
+        run(check)
+
+    def test_unknown_way_of_reading_configs(self) -> None:
+        async def check() -> None:
+            peers = build_peer_set(RecordingObserver())
+            peers.add_member(build_unreachable_member(1))
+            peers.tick(asyncio.get_running_loop().time())
+            (peer,) = peers.peers.values()
+            state = CountingObserver().build_state()
+            state.config_reading = 99
+            peer.handle_message(state)
+            assert peer.config_reading is data.ConfigReading.FROM_PEERS
+            peers.close()
+
+        run(check)
+
+
 class TestProbing:
     """A peer is suspect only if it does not reply to a probe."""
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -9,6 +9,7 @@
 from .ingress import http1
 from .membership import (
     config_role,
+    config_sync,
     connections,
     frames,
     node_state,
@@ -18,7 +19,12 @@
     store_watcher,
 )
 from .routing import call_graph, endpoint_directory, forwarder, subsetting
-from .serving import endpoint_client, endpoint_tracker, local_endpoint
+from .serving import (
+    announcements,
+    endpoint_client,
+    endpoint_tracker,
+    local_endpoint,
+)
 from .telemetry import events, gauges, metrics
 
 TICK_INTERVAL_S = 0.05
@@ -30,7 +36,6 @@
 ROUTE_TIME_CHANGE_RATIO = 0.25
 ROLE_CHECK_INTERVAL_S = 1.0
 CALL_GRAPH_KEEPER_COUNT = 3
-TOMBSTONE_WRITE_TIMEOUT_S = 0.4
 
 # A node that is about to stop refuses root requests from REFUSE_BEFORE_CLOSE_S before
 # the end of MIN_SHUTDOWN_S. After MIN_SHUTDOWN_S it closes its clients' connections and
@@ -40,11 +45,6 @@
 KILL_MARGIN_S = 0.6
 REPLY_FLUSH_S = 0.15
 
-# Time that a node that reads the store waits for a config that a peer already has, and
-# time that a peer has to send a config before another one is asked.
-PEER_CONFIG_DELAY_S = 0.3
-PEER_CONFIG_TIMEOUT_S = 0.4
-
 DEFAULT_LIMITS = data.ClientLimits(16384, 64 * 1024 * 1024, 3.0, 15.0)
 
 
@@ -79,8 +79,6 @@
         self._peers = peer_set.PeerSet(loop, settings, self._hello, self, self._rng)
         self._config: data.Config | None = None
         self._config_applied_at = 0.0
-        self._newer_config_seen_at: float | None = None
-        self._config_requested_at = float("-inf")
         self._published_edges: tuple[call_graph.Edge, ...] = ()
         self._published_times: tuple[tuple[str, int, int], ...] = ()
         self._stopping = asyncio.Event()
@@ -102,6 +100,14 @@
         self._tracker = endpoint_tracker.EndpointTracker(
             settings.service, settings.heartbeat_s
         )
+        self._config_sync = config_sync.ConfigSync(
+            settings.inbound,
+            self._store_watcher,
+            self._peers,
+            self._rng,
+            log,
+            self._broadcast_state,
+        )
         self._graph = call_graph.CallGraph()
         header_names = platform.header_names
         self._pool = endpoint_client.EndpointConnectionPool(
@@ -110,6 +116,16 @@
         self._local_endpoint = local_endpoint.LocalEndpoint(
             loop, self._tracker, self._pool, self._graph, self.metrics
         )
+        self._announcements = announcements.AnnouncementHandler(
+            loop,
+            platform,
+            self._tracker,
+            self._local_endpoint,
+            self._store_watcher,
+            log,
+            self._broadcast_state,
+            self._handle_task_done,
+        )
         self._endpoints = endpoint_directory.EndpointDirectory(
             settings, self._local_endpoint, self._peers
         )
@@ -129,7 +145,7 @@
         )
         self._peer_server = peer_server.PeerServer(loop, self._local_endpoint, self)
         self._outbound_server = self._create_server(self._forwarder.handle_request)
-        self._admin_server = self._create_server(self._handle_admin)
+        self._admin_server = self._create_server(self._announcements.handle_request)
         self._readiness_server = self._create_server(self._handle_readiness)
         self._metrics_server = self._create_server(self._handle_metrics)
 
@@ -267,117 +283,14 @@
         gauges.set_gauges(self.metrics, gauge_values, peers, self._local_endpoint)
         connection.send_status(200, body=self.metrics.format_text().encode())
 
-    def _handle_admin(
-        self, connection: http1.ServerConnection, request: http1.Request
-    ) -> None:
-        method = request.method.decode("latin-1")
-        path = request.target.decode("latin-1")
-        try:
-            announcement = self._platform.parse_announcement(method, path, request.body)
-        except data.DecodeError as error:
-            self._log.write(
-                "announce", "Announcement ignored: invalid format.", why=str(error)
-            )
-            connection.send_status(400)
-            return
-        if announcement is None:
-            connection.send_status(404)
-            return
-        previous = self._tracker.current
-        accepted = self._tracker.apply(self._loop.time(), announcement)
-        self._handle_announcement(previous, announcement, accepted)
-        if accepted and announcement.state is not data.EndpointState.READY:
-            task = self._loop.create_task(
-                self._record_departure(connection, announcement)
-            )
-            self._tasks.append(task)
-            task.add_done_callback(self._handle_task_done)
-            task.add_done_callback(self._tasks.remove)
-            return
-        acknowledge(connection)
-
-    async def _record_departure(
-        self, connection: http1.ServerConnection, announcement: data.Announcement
-    ) -> None:
-        """Writes an endpoint's tombstone to the store, then acknowledges its departure.
-
-        Without the tombstone, a node that restarts would accept a late announcement of
-        the endpoint. The acknowledgement is sent even if the write fails or takes too
-        long, since this node itself already sends no new requests to the endpoint.
-        """
-        current = self._tracker.current
-        start_ms = current.start_ms if current else announcement.start_ms
-        if announcement.instance not in self._store_watcher.tombstones:
-            self._store_watcher.tombstones[announcement.instance] = max(
-                start_ms, announcement.start_ms
-            )
-            try:
-                await asyncio.wait_for(
-                    self._store_watcher.write_record(), TOMBSTONE_WRITE_TIMEOUT_S
-                )
-            except (TimeoutError, data.StoreError) as error:
-                self._log.write(
-                    "announce",
-                    "Tombstone was not written to the store.",
-                    why=str(error),
-                )
-        acknowledge(connection)
-
     def _handle_node_record(self, key: str, record: store_watcher.NodeRecord) -> None:
         self._merge_edges(list(record.edges))
         if key == self._settings.node:
-            self._restore_tombstones(record)
+            self._announcements.restore_tombstones(record)
         self._peers.add_member(
             subsetting.Member(record.address, record.zone, record.service)
         )
 
-    def _restore_tombstones(self, record: store_watcher.NodeRecord) -> None:
-        """Restores the tombstones that this node wrote before it restarted."""
-        for instance, start_ms in record.tombstones:
-            if instance not in self._store_watcher.tombstones:
-                self._store_watcher.tombstones[instance] = start_ms
-                self._tracker.add_tombstone(instance, start_ms)
-
-    def _handle_announcement(
-        self,
-        previous: data.Announcement | None,
-        announcement: data.Announcement,
-        accepted: bool,
-    ) -> None:
-        """Applies and logs what an announcement changed.
-
-        :param previous: announcement in force before it.
-        :param accepted: whether it was accepted.
-        """
-        current = self._tracker.current
-        if not accepted and self._log.reserve_line("announce", failure=True):
-            self._log.write(
-                "announce",
-                "Announcement ignored: it is outdated or from another service.",
-                said=announcement,
-            )
-        changed = current is not None and (
-            previous is None
-            or (previous.instance, previous.start_ms, previous.state, previous.slots)
-            != (current.instance, current.start_ms, current.state, current.slots)
-        )
-        if not changed:
-            return
-        self._local_endpoint.queue.set_slots(current.slots)
-        if previous is not None and previous.start_ms != current.start_ms:
-            self._local_endpoint.service_times.clear()
-        self._log.write(
-            "announce",
-            "Endpoint changed.",
-            instance=current.instance,
-            state=current.state.value,
-            seq=current.seq,
-            slots=current.slots,
-        )
-        if current.state is not data.EndpointState.READY:
-            self._local_endpoint.refuse_queued()
-        self._broadcast_state()
-
     def _keeps_call_graph(self) -> bool:
         """Returns whether this node is among the first of its service, in any order."""
         position = config_role.get_position(self._settings.inbound)
@@ -388,50 +301,6 @@
         )
         return preceding_count < CALL_GRAPH_KEEPER_COUNT
 
-    def _update_config_role(self, now: float) -> None:
-        """Starts or stops reading configs from the store, see :mod:`.config_role`."""
-        previous = self._store_watcher.config_reading
-        peers = [
-            config_role.PeerReading(
-                peer.address, data.ConfigReading(peer.state.config_reading)
-            )
-            for peer in self._peers.get_responsive_peers(now)
-        ]
-        reads = config_role.should_read_store(self._settings.inbound, previous, peers)
-        if reads is (previous is not data.ConfigReading.FROM_PEERS):
-            return
-        self._store_watcher.set_config_reading(enabled=reads)
-        self._log.write(
-            "config",
-            "Reads configs from the store." if reads else "Gets configs from peers.",
-            peers=len(peers),
-        )
-        self._broadcast_state()
-
-    def _request_newer_config(self, now: float) -> None:
-        """Requests a config from one of the peers that have a newer one."""
-        version = self._config_version
-        peers = [
-            peer
-            for peer in self._peers.get_responsive_peers(now)
-            if peer.state.config_version > version
-        ]
-        if not peers:
-            self._newer_config_seen_at = None
-            return
-        if self._newer_config_seen_at is None:
-            self._newer_config_seen_at = now
-        reads_store = (
-            self._store_watcher.config_reading is data.ConfigReading.FROM_STORE
-        )
-        delay_s = PEER_CONFIG_DELAY_S if reads_store else 0.0
-        if (
-            now - self._newer_config_seen_at >= delay_s
-            and now - self._config_requested_at >= PEER_CONFIG_TIMEOUT_S
-        ):
-            self._config_requested_at = now
-            self._rng.choice(peers).request_config(version)
-
     def _apply_config(self, raw: bytes, source: str) -> None:
         try:
             config = self._platform.parse_config(raw)
@@ -444,7 +313,7 @@
             return
         self._config = config
         self._config_applied_at = self._loop.time()
-        self._config_requested_at = float("-inf")
+        self._config_sync.handle_config_applied()
         self._forwarder.set_config(config)
         self._outbound_server.limits = config.limits
         self._log.write(
@@ -480,10 +349,10 @@
             if now >= next_peers_at:
                 next_peers_at = now + PEER_CHECK_INTERVAL_S
                 self._peers.tick(now)
-                self._request_newer_config(now)
+                self._config_sync.request_newer(now, self._config_version)
             if now >= next_role_at:
                 next_role_at = now + self._draw_role_check_delay_s()
-                self._update_config_role(now)
+                self._config_sync.update_role(now)
             if now >= next_edges_at:
                 next_edges_at = now + EDGE_REFRESH_INTERVAL_S
                 self._refresh_edges()
@@ -608,10 +477,6 @@
         self._log.flush()
         for task in self._tasks:
             task.cancel()
+        self._announcements.close()
         self._peers.close()
         await asyncio.sleep(0)
-
-
-def acknowledge(connection: http1.ServerConnection) -> None:
-    """Acknowledges an announcement."""
-    connection.send_status(200, b"Content-Type: application/json\r\n", b"{}")
--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/announcements.py
@@ -0,0 +1,156 @@
+"""Handles the announcements of the endpoint beside this node."""
+
+import asyncio
+from collections.abc import Callable
+
+from .. import data, interfaces
+from ..ingress import http1
+from ..membership import store_watcher
+from ..telemetry import events
+from . import endpoint_tracker, local_endpoint
+
+TOMBSTONE_WRITE_TIMEOUT_S = 0.4
+
+
+class AnnouncementHandler:
+    """Applies announcements, records departures and acknowledges both.
+
+    :param watcher: writes the tombstones of endpoints that leave.
+    :param on_change: called when the endpoint or its state has changed.
+    :param on_task_done: called when a task that writes a tombstone has ended.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        platform: interfaces.Platform,
+        tracker: endpoint_tracker.EndpointTracker,
+        endpoint: local_endpoint.LocalEndpoint,
+        watcher: store_watcher.StoreWatcher,
+        log: events.EventLog,
+        on_change: Callable[[], None],
+        on_task_done: Callable[[asyncio.Task], None],
+    ) -> None:
+        self._loop = loop
+        self._platform = platform
+        self._tracker = tracker
+        self._local_endpoint = endpoint
+        self._store_watcher = watcher
+        self._log = log
+        self._on_change = on_change
+        self._on_task_done = on_task_done
+        self._tasks: set[asyncio.Task] = set()
+
+    def handle_request(
+        self, connection: http1.ServerConnection, request: http1.Request
+    ) -> None:
+        """Handles a request at the address for announcements."""
+        method = request.method.decode("latin-1")
+        path = request.target.decode("latin-1")
+        try:
+            announcement = self._platform.parse_announcement(method, path, request.body)
+        except data.DecodeError as error:
+            self._log.write(
+                "announce", "Announcement ignored: invalid format.", why=str(error)
+            )
+            connection.send_status(400)
+            return
+        if announcement is None:
+            connection.send_status(404)
+            return
+        previous = self._tracker.current
+        accepted = self._tracker.apply(self._loop.time(), announcement)
+        self._apply_change(previous, announcement, accepted)
+        if accepted and announcement.state is not data.EndpointState.READY:
+            task = self._loop.create_task(
+                self._record_departure(connection, announcement)
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._on_task_done)
+            task.add_done_callback(self._tasks.discard)
+            return
+        acknowledge(connection)
+
+    def restore_tombstones(self, record: store_watcher.NodeRecord) -> None:
+        """Restores the tombstones that this node wrote before it restarted."""
+        for instance, start_ms in record.tombstones:
+            if instance not in self._store_watcher.tombstones:
+                self._store_watcher.tombstones[instance] = start_ms
+                self._tracker.add_tombstone(instance, start_ms)
+
+    def close(self) -> None:
+        """Cancels the writes that have not ended."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _record_departure(
+        self, connection: http1.ServerConnection, announcement: data.Announcement
+    ) -> None:
+        """Writes an endpoint's tombstone to the store, then acknowledges its departure.
+
+        Without the tombstone, a node that restarts would accept a late announcement of
+        the endpoint. The acknowledgement is sent even if the write fails or takes too
+        long, since this node itself already sends no new requests to the endpoint.
+        """
+        current = self._tracker.current
+        start_ms = current.start_ms if current else announcement.start_ms
+        if announcement.instance not in self._store_watcher.tombstones:
+            self._store_watcher.tombstones[announcement.instance] = max(
+                start_ms, announcement.start_ms
+            )
+            try:
+                await asyncio.wait_for(
+                    self._store_watcher.write_record(), TOMBSTONE_WRITE_TIMEOUT_S
+                )
+            except (TimeoutError, data.StoreError) as error:
+                self._log.write(
+                    "announce",
+                    "Tombstone was not written to the store.",
+                    why=str(error),
+                )
+        acknowledge(connection)
+
+    def _apply_change(
+        self,
+        previous: data.Announcement | None,
+        announcement: data.Announcement,
+        accepted: bool,
+    ) -> None:
+        """Applies and logs what an announcement changed.
+
+        :param previous: announcement in force before it.
+        :param accepted: whether it was accepted.
+        """
+        current = self._tracker.current
+        if not accepted and self._log.reserve_line("announce", failure=True):
+            self._log.write(
+                "announce",
+                "Announcement ignored: it is outdated or from another service.",
+                said=announcement,
+            )
+        changed = current is not None and (
+            previous is None
+            or (previous.instance, previous.start_ms, previous.state, previous.slots)
+            != (current.instance, current.start_ms, current.state, current.slots)
+        )
+        if not changed:
+            return
+        self._local_endpoint.queue.set_slots(current.slots)
+        if previous is not None and previous.start_ms != current.start_ms:
+            self._local_endpoint.service_times.clear()
+        self._log.write(
+            "announce",
+            "Endpoint changed.",
+            instance=current.instance,
+            state=current.state.value,
+            seq=current.seq,
+            slots=current.slots,
+        )
+        if current.state is not data.EndpointState.READY:
+            self._local_endpoint.refuse_queued()
+        self._on_change()
+
+
+def acknowledge(connection: http1.ServerConnection) -> None:
+    """Acknowledges an announcement."""
+    connection.send_status(200, b"Content-Type: application/json\r\n", b"{}")
