--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 from collections.abc import Callable
 
 import httptools
@@ -15,6 +16,7 @@
 KEEP_ALIVE_MARGIN_S = 1.5
 CONNECT_TIMEOUT_S = 1.0
 MAX_FAILED_CONNECTS = 3
+REMEMBERED_REQUEST_COUNT = 8
 # A body is held up to four times while it is passed on.
 MAX_RESPONSE_BODY_BYTES = 32 * 1024 * 1024
 MAX_BUFFERED_BODY_BYTES = 48 * 1024 * 1024
@@ -94,6 +96,9 @@
 
     def __init__(self, pool: "EndpointConnectionPool") -> None:
         self._pool = pool
+        self._carried_ids: collections.deque[bytes] = collections.deque(
+            maxlen=REMEMBERED_REQUEST_COUNT
+        )
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
@@ -200,11 +205,19 @@
             return
         self._complete(reusable=self._parser.should_keep_alive())
 
+    def has_carried(self, request_id: bytes) -> bool:
+        """Returns whether the connection recently carried a request with this ID.
+
+        A second copy of that request's response may still arrive on it.
+        """
+        return request_id in self._carried_ids
+
     def send(self, exchange: Exchange, now: float) -> None:
         """Sends a request on this idle connection.
 
         :param now: time of the event loop in seconds.
         """
+        self._carried_ids.append(exchange.request_id)
         self._exchange = exchange
         self._received_bytes = 0
         exchange.connection = self
@@ -337,18 +350,31 @@
 
     def send(self, exchange: Exchange) -> None:
         """Sends a request on an idle connection, or on a new one if there is none."""
+        connection = self._take_idle(exchange.request_id)
+        if connection is not None:
+            connection.send(exchange, self._loop.time())
+            return
+        task = self._loop.create_task(self._connect_and_send(exchange))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _take_idle(self, request_id: bytes) -> EndpointConnection | None:
+        """Takes an idle connection that has not carried a request with this ID."""
         now = self._loop.time()
-        while self._idle:
+        passed_over = []
+        taken = None
+        while self._idle and taken is None:
             connection = self._idle.pop()
             if not connection.usable:
                 continue
-            if now - connection.idle_since < connection.idle_timeout_s:
-                connection.send(exchange, now)
-                return
-            connection.abort()
-        task = self._loop.create_task(self._connect_and_send(exchange))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+            if now - connection.idle_since >= connection.idle_timeout_s:
+                connection.abort()
+            elif connection.has_carried(request_id):
+                passed_over.append(connection)
+            else:
+                taken = connection
+        self._idle += reversed(passed_over)
+        return taken
 
     def release(self, connection: EndpointConnection) -> None:
         """Returns an idle connection to the pool."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client_test.py
@@ -234,6 +234,63 @@
         assert completion.reason is data.RefusalReason.UNREACHABLE
 
 
+class TestRequestSentAgain:
+    """A request that the endpoint rejected is sent to the same endpoint again.
+
+    The endpoint sends a second copy of its rejection late, when it has begun to run the
+    request; the copy has the right ID.
+    """
+
+    def test_late_copy_of_the_rejection_is_not_taken_for_the_response(self) -> None:
+        rejection = b"HTTP/1.1 503 Full\r\nX-Id: id\r\nX-Not-Run: 1\r\n"
+        rejection += b"Content-Length: 0\r\n\r\n"
+        success = (
+            b"HTTP/1.1 200 OK\r\nX-Id: id\r\nX-Sign: s\r\nContent-Length: 0\r\n\r\n"
+        )
+        connection_count = 0
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal connection_count
+            connection_count += 1
+            if connection_count > 1:
+                await read_request(reader)
+                writer.write(success)
+                return
+            await read_request(reader)
+            writer.write(rejection)
+            await read_request(reader)
+            writer.write(rejection)
+            writer.write(success)
+
+        async def run() -> list[data.Outcome]:
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            loop = asyncio.get_running_loop()
+            pool = endpoint_client.EndpointConnectionPool(
+                loop, f"127.0.0.1:{port}", HEADERS
+            )
+            outcomes = []
+            for _ in range(2):
+                completed = loop.create_future()
+                message = b"GET / HTTP/1.1\r\nHost: a\r\nx-id: id\r\n\r\n"
+                pool.send(
+                    endpoint_client.Exchange(
+                        b"id",
+                        message,
+                        lambda outcome, *_, completed=completed: completed.set_result(
+                            outcome
+                        ),
+                    )
+                )
+                outcomes.append(await asyncio.wait_for(completed, TIMEOUT_S))
+            server.close()
+            return outcomes
+
+        assert asyncio.run(run()) == [data.Outcome.NOT_RUN, data.Outcome.ANSWERED]
+
+
 class EndlessEndpoint:
     """Sends bytes without end until the connection is closed.
 
