--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -180,7 +180,6 @@
     :ivar load_known_at: time of the event loop when it last told its load, in seconds.
     :ivar service_time_s: average service time of its endpoint, in seconds.
     :ivar own_times_s: own times at its endpoint by route, in seconds.
-    :ivar capacity: number of requests that its endpoint runs concurrently.
     :ivar utilization: arriving work over the work that its endpoint can do.
     :ivar demand: slots demanded at the peer, by service and rank.
     :ivar reported_at: time of the event loop of its last load report, in seconds.
@@ -208,7 +207,6 @@
         self.load_known_at = 0.0
         self.service_time_s = 0.0
         self.own_times_s: dict[str, float] = {}
-        self.capacity = 0.0
         self.utilization = 0.0
         self.demand: dict[str, dict[int, float]] = {}
         self.reported_at = float("-inf")
@@ -342,11 +340,12 @@
         self.reported_at = self.loop.time()
         if report.interval_ms:
             self.report_interval_s = report.interval_ms / 1000
-        self.capacity = float(report.capacity)
         self.utilization = report.utilization / frames.UTILIZATION_SCALE
         demand: dict[str, dict[int, float]] = {}
         demand_keys = self.state.demand_keys if self.state is not None else []
-        for (service, rank), slots in zip(demand_keys, report.demand, strict=False):
+        for (service, rank), slots in zip(
+            demand_keys, report.slot_demand, strict=False
+        ):
             demand.setdefault(service, {})[rank] = slots / frames.DEMAND_SCALE
         self.demand = demand
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
@@ -38,12 +38,15 @@
 
     :param load: requests that run or wait at the endpoint.
     :param service_time_us: average service time of the endpoint, in microseconds.
-    :param capacity: number of requests that the endpoint runs concurrently.
+    :param capacity: requests per second that the endpoint can run; only read by
+        nodes of protocol version 2.
     :param utilization: arriving work over the work that can be done, in thousandths.
-    :param demand: slots demanded at the node, in thousandths, in the order of the
-        ``demand_keys`` of the last node state.
+    :param demand: requests per second demanded at the node; read by nodes of protocol
+        version 2 and empty since.
     :param interval_ms: time until the next report to the receiver, in milliseconds; 0
         if the sender is of an older version.
+    :param slot_demand: slots demanded at the node, in thousandths, in the order of the
+        ``demand_keys`` of the last node state.
     """
 
     load: int
@@ -52,6 +55,7 @@
     utilization: int
     demand: list[int]
     interval_ms: int = 0
+    slot_demand: list[int] = []
 
 
 class NodeState(msgspec.Struct, tag=2, array_like=True):
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 
 from .. import data
@@ -13,7 +14,9 @@
 
 def build_node_state(load: int = 7) -> frames.NodeState:
     """Builds the state of a node in a deployment of four services."""
-    load_report = frames.LoadReport(load, 22_000, 1_950, 830, [310] * len(DEMAND_KEYS))
+    load_report = frames.LoadReport(
+        load, 22_000, 1_950, 830, [], 250, [310] * len(DEMAND_KEYS)
+    )
     return frames.NodeState(
         "i-7f3a91c2",
         "service-1",
@@ -67,7 +70,7 @@
         peer.handle_message(build_node_state())
         peer.handle_message(
             frames.LoadReport(
-                9, 30_000, 40, 1_250, [1_000 * slots for slots in range(12)]
+                9, 30_000, 40, 1_250, [], 250, [1_000 * slots for slots in range(12)]
             )
         )
         assert peer.load == 9
@@ -76,6 +79,32 @@
         assert observer.state_count == 1
 
 
+class FormerLoadReport(msgspec.Struct, tag=8, array_like=True):
+    """Load report as nodes of protocol version 2 decode it."""
+
+    load: int
+    service_time_us: int
+    capacity: int
+    utilization: int
+    demand: list[int]
+
+
+class TestFormerVersion:
+    """Nodes of protocol version 2 beside this one."""
+
+    def test_report_is_decoded_without_demand_in_other_units(self) -> None:
+        encoded = frames.encode(build_node_state().load_report)[4:]
+        report = msgspec.msgpack.decode(encoded, type=FormerLoadReport)
+        assert report.demand == []
+        assert report.capacity == 1_950
+
+    def test_former_report_has_no_demand_in_slots(self) -> None:
+        encoded = msgspec.msgpack.encode(FormerLoadReport(1, 2, 3, 4, [5]))
+        report = msgspec.msgpack.decode(encoded, type=frames.LoadReport)
+        assert report.slot_demand == []
+        assert report.interval_ms == 0
+
+
 class CountingObserver(peer_observer.PeerObserver):
     """Counts the node states that it receives."""
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/node_state.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/node_state.py
@@ -8,6 +8,7 @@
 from . import frames
 
 EMPTY_LOAD_REPORT = frames.LoadReport(0, 0, 0, 0, [])
+MIN_SERVICE_TIME_S = 0.001
 
 
 class NodeStateBuilder:
@@ -76,14 +77,16 @@
         :param report_interval_s: time until the next one to the same peer, in seconds.
         """
         queue = self._local_endpoint.queue
+        service_time_s = max(MIN_SERVICE_TIME_S, queue.service_time_s)
+        slot_demand = [
+            round(slots * frames.DEMAND_SCALE) for slots in self._admission.get_demand()
+        ]
         return frames.LoadReport(
             queue.load,
             int(queue.service_time_s * 1e6),
-            queue.concurrency_limit,
+            round(queue.concurrency_limit / service_time_s),
             round(queue.utilization * frames.UTILIZATION_SCALE),
-            [
-                round(slots * frames.DEMAND_SCALE)
-                for slots in self._admission.get_demand()
-            ],
+            [],
             round(report_interval_s * 1000),
+            slot_demand,
         )
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -21,6 +21,8 @@
 
     :ivar address: address where the peer accepts connections; empty until it has
         introduced itself.
+    :ivar needs_every_report: whether the peer is of a version that takes a node for
+        unresponsive without reports four times a second.
     """
 
     def __init__(self, server: "PeerServer") -> None:
@@ -29,6 +31,7 @@
         self._transport: asyncio.Transport | None = None
         self._executions: dict[int, local_endpoint.Execution] = {}
         self.address = ""
+        self.needs_every_report = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Sends the node state at once."""
@@ -61,6 +64,7 @@
                     self._server.local_endpoint.cancel(execution)
             elif type(message) is frames.Hello:
                 self.address = message.address
+                self.needs_every_report = message.protocol < frames.LOAD_REQUEST_VERSION
                 self._server.observer.handle_hello(message)
             elif type(message) is frames.LoadRequest:
                 self.send(self._server.observer.build_load_report())
@@ -181,3 +185,6 @@
             del self._connections[connection]
             self._connections[connection] = None
             connection.write(frame)
+        for connection in list(self._connections):
+            if connection.needs_every_report and connection not in receivers:
+                connection.write(frame)
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server_test.py
@@ -50,6 +50,13 @@
         assert sum(counts) == rounds * peer_server.REPORTS_PER_ROUND
         assert min(counts) == 1
 
+    def test_node_of_a_former_version_gets_every_report(self) -> None:
+        server, connections = build_server(195)
+        connections[100].needs_every_report = True
+        for _ in range(10):
+            server.send_reports()
+        assert connections[100].frame_count == 10
+
     def test_ended_connection_gets_none(self) -> None:
         server, connections = build_server(3)
         server.remove(connections[0])
