--- a/packages/catkintiller-standins/src/catkintiller_standins/latency.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/latency.py
@@ -15,7 +15,7 @@
 import uvloop
 from aiohttp import web
 
-from . import capacity, deployment_spec, endpoint, local_deployment
+from . import capacity, deployment_spec, endpoint, local_deployment, ports
 
 ROUND_S = 5.0
 ROUND_COUNT = 3
@@ -115,7 +115,7 @@
     deployment = local_deployment.Deployment(
         build_spec(), "examples/small/settings.ini", folder, 1
     )
-    port = local_deployment.find_free_ports(1)[0]
+    port = ports.claim_ports(1)[0]
     first, other = deployment.vms
     direct = f"http://127.0.0.1:{first.endpoint_port}"
     paths = (
--- a/packages/catkintiller-standins/src/catkintiller_standins/local_deployment.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/local_deployment.py
@@ -5,9 +5,7 @@
 
 import asyncio
 import os
-import random
 import signal
-import socket
 import sys
 from typing import NamedTuple
 
@@ -15,13 +13,12 @@
 import msgspec
 from aiomisc.pytest import TCPProxy
 
-from . import analysis, deployment_spec, endpoint, load
+from . import analysis, deployment_spec, endpoint, load, ports
 
 MESH_KEY = "5f" * 32
 _NODE_MODULE = "catkintiller_node.main"
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 60.0
-PORT_RANGE = (10_000, 32_000)
 
 
 class Vm(NamedTuple):
@@ -44,18 +41,6 @@
     """Raised when a deployment, or a tool run in it, fails or is not ready in time."""
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Finds free ports on loopback, below the range of outgoing connections."""
-    rng = random.SystemRandom()
-    ports: set[int] = set()
-    while len(ports) < count:
-        port = rng.randrange(*PORT_RANGE)
-        with socket.socket() as probe:
-            if probe.connect_ex(("127.0.0.1", port)):
-                ports.add(port)
-    return list(ports)
-
-
 class Deployment:
     """The processes of one deployment.
 
@@ -267,8 +252,8 @@
 
     def _create_vms(self) -> None:
         count = sum(service.endpoints for service in self._spec.services)
-        ports = find_free_ports(3 * count + 1)
-        self._log_port = ports.pop()
+        free_ports = ports.claim_ports(3 * count + 1)
+        self._log_port = free_ports.pop()
         zones = self._spec.zones
         for service in self._spec.services:
             for index in range(service.endpoints):
@@ -278,9 +263,9 @@
                         service.name,
                         zones[index % len(zones)],
                         service.slots,
-                        ports.pop(),
-                        ports.pop(),
-                        ports.pop(),
+                        free_ports.pop(),
+                        free_ports.pop(),
+                        free_ports.pop(),
                     )
                 )
 
