--- a/packages/catkintiller/src/catkintiller/membership.py
+++ b/packages/catkintiller/src/catkintiller/membership.py
@@ -406,6 +406,13 @@
             self._refute_record(member)
             return
         existing = self._members.get(member.incarnation)
+        if (
+            member.address == self._own_record.address
+            and member.state < data.MemberState.GONE
+        ):
+            # Only one process listens at an address, and that is this one.
+            self._store_record(member._replace(state=data.MemberState.GONE), now)
+            return
         if existing is None and member.state >= data.MemberState.GONE:
             return
         if existing is None or _is_newer(member, existing):
--- a/packages/catkintiller/src/catkintiller/membership_test.py
+++ b/packages/catkintiller/src/catkintiller/membership_test.py
@@ -105,6 +105,31 @@
             assert node.get("0005b").state is data.MemberState.ALIVE
 
 
+class TestRestart:
+    """A node that starts again at the address of its killed predecessor."""
+
+    def test_predecessor_gets_no_requests(self) -> None:
+        network = SimulatedNetwork(5)
+        network.run(5.0)
+        former = build_member(2)
+        restarted = network.add_node(build_member(2, nonce="b"))
+        for _ in range(20):
+            network.run(STEP_S)
+            addresses = [member.incarnation for member in restarted.get_live_members()]
+            assert former.incarnation not in addresses
+
+    def test_others_learn_that_the_predecessor_is_gone(self) -> None:
+        network = SimulatedNetwork(5)
+        network.run(5.0)
+        network.add_node(build_member(2, nonce="b"))
+        network.run(2.0)
+        for address, node in network.nodes.items():
+            if address != build_member(2).address:
+                live = {member.incarnation for member in node.get_live_members()}
+                assert build_member(2).incarnation not in live
+                assert build_member(2, nonce="b").incarnation in live
+
+
 class TestLiveness:
     """Stopped nodes are detected; a failed link causes no false positives."""
 
