--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -177,7 +177,8 @@
 
     :param address: address where it accepts connections of other nodes.
     :param hello: message that identifies this node on new connections.
-    :ivar load_known_at: time of the event loop when it last told its load, in seconds.
+    :ivar load_known_at: time of the event loop when its load was last reported, in
+        seconds.
     :ivar service_time_s: average service time of its endpoint, in seconds.
     :ivar own_times_s: own times at its endpoint by route, in seconds.
     :ivar utilization: arriving work over the work that its endpoint can do.
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/service_times_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/service_times_test.py
@@ -12,9 +12,9 @@
         times = service_times.ServiceTimes()
         for number in range(200):
             times.record(number * 0.01, "cheap", 0.015, 0.015)
-            times.record(number * 0.01, "dear", 0.24, 0.24)
+            times.record(number * 0.01, "expensive", 0.24, 0.24)
         assert times.get_own_s(2.0, "cheap") == pytest.approx(0.015)
-        assert times.get_own_s(2.0, "dear") == pytest.approx(0.24)
+        assert times.get_own_s(2.0, "expensive") == pytest.approx(0.24)
         assert times.get_own_s(2.0, "other") is None
 
     def test_time_of_nested_calls_does_not_count(self) -> None:
