--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -21,7 +21,7 @@
 from .routing import call_graph, endpoint_directory, forwarder, subsetting
 from .serving import (
     announcements,
-    endpoint_client,
+    endpoint_pool,
     endpoint_tracker,
     local_endpoint,
     notice_handler,
@@ -112,7 +112,7 @@
         )
         self._graph = call_graph.CallGraph()
         header_names = platform.header_names
-        self._pool = endpoint_client.EndpointConnectionPool(
+        self._pool = endpoint_pool.EndpointConnectionPool(
             loop, settings.endpoint, header_names
         )
         self._notices = notice_handler.NoticeHandler(
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client_test.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from .. import data
-from . import endpoint_client, response_notices
+from . import endpoint_client, endpoint_pool, response_notices
 
 HEADERS = data.HeaderNames(
     b"x-id",
@@ -44,19 +44,17 @@
     script: Script,
     request_count: int = 1,
     notices: list[response_notices.Notice] | None = None,
-) -> tuple[list[Completion], endpoint_client.EndpointConnectionPool]:
+) -> tuple[list[Completion], endpoint_pool.EndpointConnectionPool]:
     """Sends requests one after another to an endpoint that runs a script.
 
     :param notices: list to which the notices in the responses are appended.
     """
 
-    async def run() -> tuple[list[Completion], endpoint_client.EndpointConnectionPool]:
+    async def run() -> tuple[list[Completion], endpoint_pool.EndpointConnectionPool]:
         server = await asyncio.start_server(script, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         loop = asyncio.get_running_loop()
-        pool = endpoint_client.EndpointConnectionPool(
-            loop, f"127.0.0.1:{port}", HEADERS
-        )
+        pool = endpoint_pool.EndpointConnectionPool(loop, f"127.0.0.1:{port}", HEADERS)
         completions = []
         for number in range(request_count):
             completed = loop.create_future()
@@ -230,7 +228,7 @@
             port = server.sockets[0].getsockname()[1]
             server.close()
             await server.wait_closed()
-            pool = endpoint_client.EndpointConnectionPool(
+            pool = endpoint_pool.EndpointConnectionPool(
                 loop, f"127.0.0.1:{port}", HEADERS
             )
             completed = loop.create_future()
@@ -282,7 +280,7 @@
             server = await asyncio.start_server(serve, "127.0.0.1", 0)
             port = server.sockets[0].getsockname()[1]
             loop = asyncio.get_running_loop()
-            pool = endpoint_client.EndpointConnectionPool(
+            pool = endpoint_pool.EndpointConnectionPool(
                 loop, f"127.0.0.1:{port}", HEADERS
             )
             outcomes = []
@@ -414,12 +412,12 @@
             server.close()
             await server.wait_closed()
             loop = asyncio.get_running_loop()
-            pool = endpoint_client.EndpointConnectionPool(
+            pool = endpoint_pool.EndpointConnectionPool(
                 loop, f"127.0.0.1:{port}", HEADERS
             )
             if other_connection:
                 pool.add(endpoint_client.EndpointConnection(pool))
-            for number in range(endpoint_client.MAX_FAILED_CONNECTS):
+            for number in range(endpoint_pool.MAX_FAILED_CONNECTS):
                 completed = loop.create_future()
                 pool.send(
                     endpoint_client.Exchange(
--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_pool.py
@@ -0,0 +1,128 @@
+"""Pool of connections to the local endpoint."""
+
+import asyncio
+
+from .. import data
+from . import endpoint_client
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_FAILED_CONNECTS = 3
+
+
+class EndpointConnectionPool:
+    """Pool of connections to the local endpoint.
+
+    The connection that was released last is reused first.
+
+    :param address: ``IP:PORT`` of the endpoint.
+    :param header_names: names of the headers that the node interprets.
+    :ivar failed_connects: attempts to connect that failed since the last one that
+        succeeded.
+    :ivar buffered_body_bytes: bytes of the incomplete bodies of all connections.
+    :ivar opened_count: number of connections that were opened.
+    :ivar stray_response_count: number of responses that matched no request.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: str,
+        header_names: data.HeaderNames,
+    ) -> None:
+        self._loop = loop
+        host, _, port = address.rpartition(":")
+        self._host = host
+        self._port = int(port)
+        self._idle: list[endpoint_client.EndpointConnection] = []
+        self._open: set[endpoint_client.EndpointConnection] = set()
+        self._tasks: set[asyncio.Task] = set()
+        self.header_names = header_names
+        self.failed_connects = 0
+        self.buffered_body_bytes = 0
+        self.opened_count = 0
+        self.stray_response_count = 0
+
+    @property
+    def is_endpoint_down(self) -> bool:
+        """Whether several attempts to connect failed and no connection is open.
+
+        An endpoint that has reached its limit of connections still has open ones.
+        """
+        return self.failed_connects >= MAX_FAILED_CONNECTS and not self._open
+
+    def send(self, exchange: endpoint_client.Exchange) -> None:
+        """Sends a request on an idle connection, or on a new one if there is none."""
+        connection = self._take_idle(exchange.request_id)
+        if connection is not None:
+            connection.send(exchange, self._loop.time())
+            return
+        task = self._loop.create_task(self._connect_and_send(exchange))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _take_idle(
+        self, request_id: bytes
+    ) -> endpoint_client.EndpointConnection | None:
+        """Takes an idle connection that has not carried a request with this ID."""
+        now = self._loop.time()
+        passed_over = []
+        taken = None
+        while self._idle and taken is None:
+            connection = self._idle.pop()
+            if not connection.usable:
+                continue
+            if now - connection.idle_since >= connection.idle_timeout_s:
+                connection.abort()
+            elif connection.has_carried(request_id):
+                passed_over.append(connection)
+            else:
+                taken = connection
+        self._idle += reversed(passed_over)
+        return taken
+
+    def release(self, connection: endpoint_client.EndpointConnection) -> None:
+        """Returns an idle connection to the pool."""
+        connection.idle_since = self._loop.time()
+        self._idle.append(connection)
+
+    def add(self, connection: endpoint_client.EndpointConnection) -> None:
+        """Adds a connection that was established."""
+        self._open.add(connection)
+
+    def remove(self, connection: endpoint_client.EndpointConnection) -> None:
+        """Removes a closed connection from the pool."""
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def count_stray_response(self) -> None:
+        """Counts a response that matches no request."""
+        self.stray_response_count += 1
+
+    def close_idle(self) -> None:
+        """Aborts all idle connections."""
+        for connection in list(self._idle):
+            connection.abort()
+        self._idle.clear()
+
+    async def _connect_and_send(self, exchange: endpoint_client.Exchange) -> None:
+        connecting = self._loop.create_connection(
+            lambda: endpoint_client.EndpointConnection(self), self._host, self._port
+        )
+        try:
+            _, connection = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
+        except (TimeoutError, OSError):
+            self.failed_connects += 1
+            reason = data.RefusalReason.UNREACHABLE
+            exchange.complete(data.Outcome.NOT_RUN, reason)
+            return
+        self.failed_connects = 0
+        self.opened_count += 1
+        if exchange.on_complete is None:
+            self.release(connection)
+            return
+        if not connection.usable:
+            reason = data.RefusalReason.UNREACHABLE
+            exchange.complete(data.Outcome.NOT_RUN, reason)
+            return
+        connection.send(exchange, self._loop.time())
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
@@ -8,6 +8,7 @@
 from ..routing import call_graph
 from . import (
     endpoint_client,
+    endpoint_pool,
     endpoint_queue,
     endpoint_tracker,
     rate_limiter,
@@ -137,7 +138,7 @@
         self,
         loop: asyncio.AbstractEventLoop,
         tracker: endpoint_tracker.EndpointTracker,
-        pool: endpoint_client.EndpointConnectionPool,
+        pool: endpoint_pool.EndpointConnectionPool,
         graph: call_graph.CallGraph,
         metrics: Any,
         on_notice: NoticeCallback,
