Logs name the crash of an endpoint and the requests that ran

What callers saw: most requests of three routes refused or failed while endpoints ended again and again. The logs told lost connections one by one, under request IDs that a repeated request does not keep, so nobody could tell whether one request or the load ended the endpoints. Change: a request that loses its connection is held back until a new connection tells whether the endpoint still listens (one connection, kept for the next request); a crash is logged with the fingerprints of all requests that ran. Attempt lines carry the fingerprint, a counter counts crashes. Nothing is decided by it yet. Result: tests of the package pass; a dropped response is no crash (unit tests).

--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -6,6 +6,7 @@
 import signal
 
 from . import data, interfaces
+from .crashes import crash_reporter
 from .ingress import http1
 from .membership import (
     config_role,
@@ -120,6 +121,7 @@
             self._broadcast_state,
             lambda: self._announcements.handle_leaving_response(),
         )
+        self._crash_reporter = crash_reporter.CrashReporter(log, self.metrics)
         self._local_endpoint = local_endpoint.LocalEndpoint(
             loop,
             self._tracker,
@@ -127,6 +129,7 @@
             self._graph,
             self.metrics,
             self._notices.handle_notice,
+            self._crash_reporter.handle_crash,
         )
         self._announcements = announcements.AnnouncementHandler(
             loop,
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -10,6 +10,7 @@
 import random
 
 from .. import data
+from ..crashes import fingerprint
 from ..ingress import http1
 from ..membership import frames
 from ..serving import local_endpoint
@@ -465,4 +466,12 @@
                 next=next_step.value,
                 rank=pending.rank,
                 call=pending.is_nested_call,
+                request=self._format_fingerprint(pending),
             )
+
+    def _format_fingerprint(self, pending: PendingRequest) -> str:
+        return fingerprint.format_fingerprint(
+            fingerprint.compute_fingerprint(
+                pending.service, pending.head, pending.request.body
+            )
+        )
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
@@ -158,8 +158,11 @@
         ends_with_connection = self._head_complete and not self._has_body_length()
         if exc is None and ends_with_connection:
             self._complete(reusable=False)
-        self._fail(data.RefusalReason.CONNECTION_LOST)
         self._drop_body()
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            exchange.connection = None
+            self._pool.crash_detector.handle_lost(exchange)
 
     def data_received(self, received: bytes) -> None:
         """Feeds received bytes to the parser; aborts on unexpected or invalid ones."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_pool.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_pool.py
@@ -3,9 +3,11 @@
 import asyncio
 
 from .. import data
+from ..crashes import crash_detector
 from . import endpoint_client
 
 CONNECT_TIMEOUT_S = 1.0
+PROBE_TIMEOUT_S = 0.2
 MAX_FAILED_CONNECTS = 3
 
 
@@ -16,6 +18,7 @@
 
     :param address: ``IP:PORT`` of the endpoint.
     :param header_names: names of the headers that the node interprets.
+    :ivar crash_detector: decides whether lost requests were lost to a crash.
     :ivar failed_connects: attempts to connect that failed since the last one that
         succeeded.
     :ivar buffered_body_bytes: bytes of the incomplete bodies of all connections.
@@ -37,6 +40,7 @@
         self._open: set[endpoint_client.EndpointConnection] = set()
         self._tasks: set[asyncio.Task] = set()
         self.header_names = header_names
+        self.crash_detector = crash_detector.CrashDetector(loop, self)
         self.failed_connects = 0
         self.buffered_body_bytes = 0
         self.opened_count = 0
@@ -50,6 +54,11 @@
         """
         return self.failed_connects >= MAX_FAILED_CONNECTS and not self._open
 
+    @property
+    def has_open_connection(self) -> bool:
+        """Whether any connection is open."""
+        return bool(self._open)
+
     def send(self, exchange: endpoint_client.Exchange) -> None:
         """Sends a request on an idle connection, or on a new one if there is none."""
         connection = self._take_idle(exchange.request_id)
@@ -105,6 +114,26 @@
             connection.abort()
         self._idle.clear()
 
+    async def is_refused(self) -> bool:
+        """Returns whether the endpoint refuses a new connection.
+
+        A connection that it accepts is kept for the next request.
+        """
+        connecting = self._loop.create_connection(
+            lambda: endpoint_client.EndpointConnection(self), self._host, self._port
+        )
+        try:
+            _, connection = await asyncio.wait_for(connecting, PROBE_TIMEOUT_S)
+        except ConnectionRefusedError:
+            return True
+        except (TimeoutError, OSError):
+            return False
+        self.failed_connects = 0
+        self.opened_count += 1
+        if connection.usable:
+            self.release(connection)
+        return False
+
     async def _connect_and_send(self, exchange: endpoint_client.Exchange) -> None:
         connecting = self._loop.create_connection(
             lambda: endpoint_client.EndpointConnection(self), self._host, self._port
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 from .. import data
+from ..crashes import crash, fingerprint
 from ..routing import call_graph
 from . import (
     endpoint_client,
@@ -33,6 +34,7 @@
 
 
 NoticeCallback = Callable[[NoticeSource, response_notices.Notice], None]
+CrashCallback = Callable[[crash.EndpointCrash], None]
 
 
 class Attempt(NamedTuple):
@@ -127,6 +129,8 @@
     :param metrics: records queue and service times; see
         :class:`..telemetry.metrics.Metrics`.
     :param on_notice: called with the notice in each response of the endpoint.
+    :param on_crash: called when the endpoint has crashed, before the requests that it
+        ran get their results.
     :ivar running_requests: requests that run at the endpoint.
     :ivar queue: requests that are queued for the endpoint.
     :ivar service_times: service times of the endpoint by route.
@@ -142,6 +146,7 @@
         graph: call_graph.CallGraph,
         metrics: Any,
         on_notice: NoticeCallback,
+        on_crash: CrashCallback,
     ) -> None:
         self._loop = loop
         self._tracker = tracker
@@ -149,6 +154,9 @@
         self._graph = graph
         self._metrics = metrics
         self._on_notice = on_notice
+        self._on_crash = on_crash
+        self._running: dict[Execution, None] = {}
+        pool.crash_detector.on_crash = self._handle_crash
         self._sent_count = 0
         self._named_limit = rate_limiter.NamedRateLimit()
         self._run_timer: asyncio.TimerHandle | None = None
@@ -288,6 +296,7 @@
             attempt.request_id, message, handle_completion, handle_notice
         )
         self._sent_count += 1
+        self._running[execution] = None
         self._pool.send(execution.exchange)
 
     def _finish(
@@ -334,6 +343,7 @@
         if not execution.is_running:
             return
         execution.is_running = False
+        self._running.pop(execution, None)
         if execution.running_request is not None:
             self.running_requests.remove(execution.running_request)
         self.queue.release_slot(service_time_s)
@@ -374,6 +384,20 @@
             self._run_queued()
         self._on_notice(source, notice)
 
+    def _handle_crash(self) -> None:
+        """Reports the requests that had been sent when the endpoint crashed."""
+        now = self._loop.time()
+        current = self._tracker.current
+        if current is None:
+            return
+        sent = [each for each in self._running if each.exchange.started_at]
+        runs = tuple(build_crashed_run(each, now) for each in reversed(sent))
+        self._on_crash(
+            crash.EndpointCrash(
+                current.instance, current.start_ms, current.service, runs
+            )
+        )
+
     def _refuse(self, execution: Execution, reason: data.RefusalReason) -> None:
         on_complete, execution.on_complete = execution.on_complete, None
         if on_complete is not None:
@@ -381,3 +405,16 @@
             on_complete(
                 AttemptResult(data.Outcome.NOT_RUN, reason, 0, b"", b"", queued_s, 0.0)
             )
+
+
+def build_crashed_run(execution: Execution, now: float) -> crash.CrashedRun:
+    """Builds the record of a request that ran when the endpoint crashed.
+
+    :param now: time of the event loop in seconds.
+    """
+    attempt = execution.attempt
+    return crash.CrashedRun(
+        attempt.request_id,
+        fingerprint.compute_fingerprint(attempt.service, attempt.head, attempt.body),
+        now - execution.exchange.started_at,
+    )
