A request that crashes endpoints is isolated, then blocked

Cause: the outcome of an attempt outlived its request ID nowhere. Nothing knew that the same request had run at earlier crashes, so every node ran it again, the node's own retry at once at the next endpoint. Evidence: crash lines of 14 and 12 crashes, the same fingerprint at all of them, the others changing. Ruled out: load; a node that counts but is alone (none counted); retries as the cause (12 crashes without any retry, not idempotent). Change: all that ran at a crash are suspects until an endpoint responds to them. Suspects go to one endpoint each, chosen by hash, and run there apart from each other; they are not sent while half of the endpoints or fewer accept requests. The crashes that it explains no longer count against others. Crashes are reported to the connected nodes, passed on once among the nodes of the service, and handed over on new connections; nodes of former versions get none of these. Why it works: the check is beside the endpoint, where all requests pass, and at the node where a request arrives; a culprit never has a response, a bystander has one as soon as it runs.

--- a/packages/catkintiller-relay/src/catkintiller_relay/crashes/crash.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/crashes/crash.py
@@ -7,15 +7,18 @@
 
 
 class CrashedRun(NamedTuple):
-    """A request that ran when an endpoint crashed.
+    """A request that ran when an endpoint crashed, or shortly before.
 
     :param fingerprint: see :mod:`.fingerprint`.
     :param running_s: time since it was sent to the endpoint, in seconds.
+    :param is_only_suspect: whether it ran as a suspect of an earlier crash, and no
+        other request did.
     """
 
     request_id: bytes
     fingerprint: bytes
     running_s: float
+    is_only_suspect: bool
 
 
 class EndpointCrash(NamedTuple):
@@ -23,7 +26,8 @@
 
     :param instance: instance ID of the endpoint.
     :param start_ms: Unix time of the start that ended, in milliseconds.
-    :param runs: requests that ran, the one that was sent last first.
+    :param runs: requests that ran, the one that was sent last first, and then those
+        that were cancelled shortly before.
     """
 
     instance: str
--- a/packages/catkintiller-relay/src/catkintiller_relay/data.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/data.py
@@ -222,6 +222,8 @@
     CONNECTION_LOST = "connection_lost"
     NODE_LOST = "node_lost"
     STOPPING = "stopping"
+    BLOCKED = "blocked"
+    SUSPECT = "suspect"
 
 
 class Outcome(enum.IntEnum):
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -307,6 +307,7 @@
                 int(attempt.target_latency_s * 1000),
                 attempt.head,
                 attempt.body,
+                attempt.suspect_crashes,
             )
         )
         return connection, number
@@ -348,6 +349,10 @@
             self._observer.handle_state(self, message)
         elif isinstance(message, frames.ConfigReply):
             self._observer.handle_config(message)
+        elif isinstance(message, frames.CrashReport):
+            self._observer.handle_crash_report(message)
+        elif isinstance(message, frames.ClearedRequests):
+            self._observer.handle_cleared_requests(message)
 
     def _is_endpoint_reachable(self) -> bool:
         """Returns whether the peer is connected and its endpoint has not left.
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
@@ -9,8 +9,9 @@
 
 from .. import data
 
-PROTOCOL_VERSION = 3
+PROTOCOL_VERSION = 4
 LOAD_REQUEST_VERSION = 3  # first protocol version with load requests
+CRASH_REPORT_VERSION = 4  # first protocol version with crash reports
 UTILIZATION_SCALE = 1000
 DEMAND_SCALE = 1000
 MAX_FRAME_BYTES = 80 * 1024 * 1024
@@ -116,6 +117,8 @@
     :param remaining_ms: time left until the deadline, in milliseconds.
     :param target_latency_ms: time left, in milliseconds, in which a response has
         full value.
+    :param suspect_crashes: number of crashes of endpoints at which the request ran, as
+        far as the sender knows; 0 if the sender is of an older version.
     """
 
     number: int
@@ -128,6 +131,7 @@
     target_latency_ms: int
     head: bytes
     body: bytes
+    suspect_crashes: int = 0
 
 
 class Cancel(msgspec.Struct, tag=4, array_like=True):
@@ -179,6 +183,34 @@
     """Requests a load report at once; shows whether the receiver still responds."""
 
 
+class CrashReport(msgspec.Struct, tag=10, array_like=True):
+    """Requests that ran when an endpoint crashed, and requests that are not run.
+
+    Sent at a crash, and with the whole history to a node that opens a connection. Nodes
+    before :data:`CRASH_REPORT_VERSION` do not know this message.
+
+    :param crash_id: identity of the crash; empty for a history.
+    :param service: service of the endpoint that crashed; empty for a history.
+    :param suspects: fingerprint and number of crashes of each request that ran.
+    :param blocks: fingerprint, remaining milliseconds and number of blocks of each
+        request that is blocked.
+    """
+
+    crash_id: bytes
+    service: str
+    suspects: list[tuple[bytes, int]]
+    blocks: list[tuple[bytes, int, int]]
+
+
+class ClearedRequests(msgspec.Struct, tag=11, array_like=True):
+    """Suspects and blocked requests to which the sender's endpoint has responded.
+
+    Nodes before :data:`CRASH_REPORT_VERSION` do not know this message.
+    """
+
+    fingerprints: list[bytes]
+
+
 Message = (
     Hello
     | NodeState
@@ -189,6 +221,8 @@
     | ConfigReply
     | LoadReport
     | LoadRequest
+    | CrashReport
+    | ClearedRequests
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
@@ -144,5 +144,15 @@
     def handle_peer_removed(self, address: str) -> None:
         """Does nothing."""
 
+    def handle_crash_report(self, message: frames.CrashReport) -> None:
+        """Does nothing."""
+
+    def handle_cleared_requests(self, message: frames.ClearedRequests) -> None:
+        """Does nothing."""
+
+    def build_crash_handover(self) -> frames.CrashReport | None:
+        """Returns nothing."""
+        return None
+
     def handle_peer_event(self, peer: connections.Peer, event: str) -> None:
         """Does nothing."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_observer.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_observer.py
@@ -47,3 +47,15 @@
     @abc.abstractmethod
     def handle_peer_removed(self, address: str) -> None:
         """Handles the removal of a peer that is lost or no longer selected."""
+
+    @abc.abstractmethod
+    def handle_crash_report(self, message: frames.CrashReport) -> None:
+        """Handles what a peer knows about crashes of endpoints."""
+
+    @abc.abstractmethod
+    def handle_cleared_requests(self, message: frames.ClearedRequests) -> None:
+        """Handles the requests to which a peer's endpoint has responded."""
+
+    @abc.abstractmethod
+    def build_crash_handover(self) -> frames.CrashReport | None:
+        """Builds what a node that has just connected must know about crashes."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -21,6 +21,7 @@
 
     :ivar address: address where the peer accepts connections; empty until it has
         introduced itself.
+    :ivar service: service of the peer's endpoint; empty until then.
     :ivar needs_every_report: whether the peer is of a version that takes a node for
         unresponsive without reports four times a second.
     """
@@ -30,9 +31,16 @@
         self._decoder = frames.FrameDecoder()
         self._transport: asyncio.Transport | None = None
         self._executions: dict[int, local_endpoint.Execution] = {}
+        self._protocol = 0
         self.address = ""
+        self.service = ""
         self.needs_every_report = False
 
+    @property
+    def takes_crash_reports(self) -> bool:
+        """Whether the peer has introduced itself and its version has crash reports."""
+        return self._protocol >= frames.CRASH_REPORT_VERSION
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Sends the node state at once."""
         self._transport = transport
@@ -63,9 +71,7 @@
                 if execution is not None:
                     self._server.local_endpoint.cancel(execution)
             elif type(message) is frames.Hello:
-                self.address = message.address
-                self.needs_every_report = message.protocol < frames.LOAD_REQUEST_VERSION
-                self._server.observer.handle_hello(message)
+                self._handle_hello(message)
             elif type(message) is frames.LoadRequest:
                 self.send(self._server.observer.build_load_report())
             elif type(message) is frames.ConfigRequest:
@@ -80,6 +86,23 @@
         if self._transport is not None:
             self._transport.write(frame)
 
+    def _handle_hello(self, message: frames.Hello) -> None:
+        self._protocol = message.protocol
+        self.address = message.address
+        self.service = message.service
+        self.needs_every_report = message.protocol < frames.LOAD_REQUEST_VERSION
+        self._server.observer.handle_hello(message)
+        handover = self._server.observer.build_crash_handover()
+        if handover is not None and self.takes_crash_reports:
+            self.send(handover)
+
+    def _get_reason(self, result: local_endpoint.AttemptResult) -> str:
+        """Returns the reason in a result, in the terms of the peer's version."""
+        reason = result.reason
+        if reason is data.RefusalReason.BLOCKED and not self.takes_crash_reports:
+            reason = data.RefusalReason.OVERLOADED
+        return reason.value if reason else ""
+
     def _submit(self, message: frames.Submit) -> None:
         number = message.number
         attempt = local_endpoint.Attempt(
@@ -92,6 +115,7 @@
             message.target_latency_ms / 1000,
             message.head,
             message.body,
+            message.suspect_crashes,
         )
 
         def send_reply(result: local_endpoint.AttemptResult) -> None:
@@ -102,7 +126,7 @@
                 frames.Reply(
                     number,
                     int(result.outcome),
-                    result.reason.value if result.reason else "",
+                    self._get_reason(result),
                     result.status,
                     queue.load,
                     int(queue.service_time_s * 1e6),
@@ -175,6 +199,20 @@
         for connection in list(self._connections):
             connection.write(frame)
 
+    def send_crash_message(
+        self,
+        message: frames.CrashReport | frames.ClearedRequests,
+        service: str | None = None,
+    ) -> None:
+        """Sends a message to the connected nodes whose version has crash reports.
+
+        :param service: service of the nodes to send it to; None for all.
+        """
+        frame = frames.encode(message)
+        for connection in list(self._connections):
+            if connection.takes_crash_reports and service in (None, connection.service):
+                connection.write(frame)
+
     def send_reports(self) -> None:
         """Sends a load report to the nodes whose turn it is."""
         receivers = list(self._connections)[:REPORTS_PER_ROUND]
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -6,12 +6,13 @@
 import signal
 
 from . import data, interfaces
-from .crashes import crash_reporter
+from .crashes import crash_history, crash_reporter
 from .ingress import http1
 from .membership import (
     config_role,
     config_sync,
     connections,
+    crash_messages,
     frames,
     node_state,
     peer_observer,
@@ -121,7 +122,14 @@
             self._broadcast_state,
             lambda: self._announcements.handle_leaving_response(),
         )
-        self._crash_reporter = crash_reporter.CrashReporter(log, self.metrics)
+        self._crash_reporter = crash_reporter.CrashReporter(
+            loop,
+            settings.service,
+            log,
+            self.metrics,
+            self._send_crash_report,
+            self._send_cleared,
+        )
         self._local_endpoint = local_endpoint.LocalEndpoint(
             loop,
             self._tracker,
@@ -129,7 +137,7 @@
             self._graph,
             self.metrics,
             self._notices.handle_notice,
-            self._crash_reporter.handle_crash,
+            self._crash_reporter,
         )
         self._announcements = announcements.AnnouncementHandler(
             loop,
@@ -151,6 +159,7 @@
             self._local_endpoint,
             self._endpoints,
             self._graph,
+            self._crash_reporter.history,
             log,
             self.metrics,
             self._rng,
@@ -236,6 +245,32 @@
         """Applies a config that a peer sent."""
         self._apply_config(reply.raw, "peer")
 
+    def handle_crash_report(self, message: frames.CrashReport) -> None:
+        """Adds what a peer knows about crashes of endpoints."""
+        self._crash_reporter.handle_report(crash_messages.parse_message(message))
+
+    def handle_cleared_requests(self, message: frames.ClearedRequests) -> None:
+        """Clears requests to which a peer's endpoint has responded."""
+        self._crash_reporter.handle_cleared(message.fingerprints)
+
+    def build_crash_handover(self) -> frames.CrashReport | None:
+        """Builds the message with all that this node knows about crashes."""
+        history = self._crash_reporter.history
+        if history.is_empty:
+            return None
+        report = history.build_handover(self._loop.time())
+        return crash_messages.build_message(report)
+
+    def _send_crash_report(
+        self, report: crash_history.CrashReport, service: str | None
+    ) -> None:
+        message = crash_messages.build_message(report)
+        self._peer_server.send_crash_message(message, service)
+        self._broadcast_state()
+
+    def _send_cleared(self, fingerprints: list[bytes]) -> None:
+        self._peer_server.send_crash_message(frames.ClearedRequests(fingerprints))
+
     def get_config(self) -> data.Config | None:
         """Returns the config in force."""
         return self._config
@@ -354,6 +389,7 @@
             now = self._loop.time()
             elapsed_s, last_tick_at = now - last_tick_at, now
             self._local_endpoint.refuse_expired(now)
+            self._crash_reporter.send_newly_cleared()
             self._local_endpoint.queue.update_utilization(elapsed_s)
             if self._local_endpoint.accepting is not was_accepting:
                 was_accepting = not was_accepting
@@ -380,6 +416,7 @@
             if now >= next_sweep_at:
                 next_sweep_at = now + SWEEP_INTERVAL_S
                 self._outbound_server.close_timed_out(now)
+                self._crash_reporter.history.drop_expired(now)
                 self._log_load()
             self._log.flush()
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
@@ -82,6 +82,7 @@
                     0.0,
                     self._get_failure_ratio(LOCAL_NODE, now),
                     rate_limit=queue.rate_limit,
+                    own_address=self._settings.inbound,
                 )
             )
         zone = self._settings.zone
@@ -112,6 +113,20 @@
             )
         return candidates or suspects
 
+    def can_spare_endpoint(self, service: str) -> bool:
+        """Returns whether more than half of a service's endpoints accept requests.
+
+        Then one of them may be lost to a request that may crash it.
+        """
+        states = [
+            peer.accepting
+            for peer in self._peers.peers.values()
+            if peer.state is not None and peer.state.service == service
+        ]
+        if service == self._settings.service:
+            states.append(self._local_endpoint.accepting)
+        return 2 * sum(states) > len(states)
+
     def has_healthy_endpoint(
         self, service: str, route: str, tried_nodes: set[str], now: float
     ) -> bool:
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_selection.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_selection.py
@@ -6,6 +6,7 @@
 the same endpoint that looks free, so only two random ones are compared.
 """
 
+import hashlib
 import random
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -42,6 +43,7 @@
     :param failure_ratio: ratio of the requests that failed there recently.
     :param load_age_s: time in seconds since the load was reported.
     :param rate_limit: requests per second that may start there; None if not limited.
+    :param own_address: address of this node if the endpoint is the one beside it.
     """
 
     node: str
@@ -54,6 +56,12 @@
     failure_ratio: float
     load_age_s: float = 0.0
     rate_limit: float | None = None
+    own_address: str = ""
+
+    @property
+    def address(self) -> str:
+        """Address of the node beside the endpoint, the same one at all nodes."""
+        return self.node or self.own_address
 
 
 def compute_expected_latency_s(
@@ -120,6 +128,25 @@
     )
 
 
+def select_endpoint_for_suspect(
+    candidates: Iterable[Candidate], fingerprint: bytes
+) -> Candidate | None:
+    """Selects the endpoint for a request that may crash it.
+
+    All nodes send the same request to the same endpoint, as far as they know the same
+    ones, so that it does not crash several; other requests go to others.
+
+    :returns: the one with the highest rendezvous weight; None if there are none.
+    """
+    return max(
+        candidates,
+        key=lambda candidate: hashlib.blake2b(
+            candidate.address.encode(), digest_size=8, key=fingerprint
+        ).digest(),
+        default=None,
+    )
+
+
 def sample_candidates(
     pool: list[Candidate], max_count: int, rng: random.Random
 ) -> list[Candidate]:
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_selection_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_selection_test.py
@@ -263,3 +263,49 @@
 
     def test_low_limit_is_used_when_the_other_endpoint_is_full(self) -> None:
         assert 0 < self.count_limited(5, 500) <= self.DURATION_S * 5 + 10
+
+
+class TestSuspect:
+    """A request that may crash endpoints is sent to the same one by all nodes."""
+
+    def build_candidates(self, own: str) -> list[endpoint_selection.Candidate]:
+        """Builds three endpoints as seen from the node beside one of them."""
+        addresses = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"]
+        return [
+            endpoint_selection.Candidate(
+                "" if address == own else address,
+                3.0,
+                10.0,
+                0.03,
+                False,
+                True,
+                0.0,
+                0.0,
+                own_address=own,
+            )
+            for address in addresses
+        ]
+
+    def test_all_nodes_select_the_same_endpoint(self) -> None:
+        for number in range(20):
+            fingerprint = b"request%d" % number
+            selected = {
+                endpoint_selection.select_endpoint_for_suspect(
+                    self.build_candidates(own), fingerprint
+                ).address
+                for own in ("10.0.0.1:1", "10.0.0.2:1", "10.0.0.9:1")
+            }
+            assert len(selected) == 1
+
+    def test_suspects_are_spread_over_the_endpoints(self) -> None:
+        candidates = self.build_candidates("10.0.0.9:1")
+        counts: dict[str, int] = {}
+        for number in range(300):
+            selected = endpoint_selection.select_endpoint_for_suspect(
+                candidates, b"request%d" % number
+            )
+            counts[selected.address] = counts.get(selected.address, 0) + 1
+        assert min(counts.values()) > 60
+
+    def test_no_candidate(self) -> None:
+        assert endpoint_selection.select_endpoint_for_suspect([], b"request") is None
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -10,7 +10,7 @@
 import random
 
 from .. import data
-from ..crashes import fingerprint
+from ..crashes import crash_history, fingerprint
 from ..ingress import http1
 from ..membership import frames
 from ..serving import local_endpoint
@@ -30,6 +30,8 @@
 MAX_REDISPATCH_COUNT = 2
 EXPIRY_MARGIN_S = 0.01
 NO_CONFIG_RETRY_AFTER_S = 0.5
+MIN_BLOCKED_RETRY_AFTER_S = 1.0
+SUSPECT_RETRY_AFTER_S = 1.0
 MAX_PENDING_COUNT = 6000
 MAX_PENDING_BODY_BYTES = 64 * 1024 * 1024
 
@@ -44,6 +46,7 @@
     REDISPATCH = "not_run_so_elsewhere"
     WAIT = "runs_elsewhere_too"
     MAY_HAVE_RUN = "may_have_run"
+    BLOCKED = "blocked"
 
 
 class Forwarder:
@@ -54,6 +57,7 @@
     :param endpoint: endpoint beside this node.
     :param endpoints: endpoints of this node and of its peers.
     :param graph: call graph of the routes.
+    :param history: requests that may crash endpoints.
     :ivar stopping: whether root requests are refused because the node stops.
     """
 
@@ -65,6 +69,7 @@
         endpoint: local_endpoint.LocalEndpoint,
         endpoints: endpoint_directory.EndpointDirectory,
         graph: call_graph.CallGraph,
+        history: crash_history.CrashHistory,
         log: events.EventLog,
         node_metrics: metrics.Metrics,
         rng: random.Random,
@@ -76,6 +81,7 @@
         self._endpoints = endpoints
         self.admission = admission.AdmissionController(endpoints, graph)
         self._graph = graph
+        self._history = history
         self._log = log
         self._metrics = node_metrics
         self._rng = rng
@@ -166,12 +172,15 @@
         if self.stopping and not pending.is_nested_call:
             self._send_refusal(pending, data.RefusalReason.STOPPING)
             return
+        if self._get_standing(pending, now) is crash_history.Standing.BLOCKED:
+            self._send_refusal(pending, data.RefusalReason.BLOCKED)
+            return
         if not pending.is_nested_call and not self.admission.admit_request(
             route, pending.service
         ):
             self._send_refusal(pending, data.RefusalReason.CHAIN_OVERLOADED)
             return
-        pending.head = self._head_builder.build(request)
+        pending.head = pending.head or self._head_builder.build(request)
         pending.expiry_timer = self._loop.call_at(
             pending.expires_at, self._handle_expiry, pending
         )
@@ -179,9 +188,7 @@
         self._send_attempt(pending, now)
 
     def _send_attempt(self, pending: PendingRequest, now: float) -> None:
-        candidate = endpoint_selection.select_endpoint(
-            self._get_candidates(pending, now), self._rng
-        )
+        candidate = self._select_endpoint(pending, now)
         if candidate is None:
             self._send_failure(pending, pending.last_reason)
             return
@@ -197,6 +204,7 @@
             max(0.0, route.target_latency_s - (now - pending.head_received_at)),
             pending.head,
             pending.request.body,
+            self._history.get_crash_count(pending.fingerprint),
         )
 
         node = candidate.node
@@ -217,6 +225,23 @@
         peer = self._endpoints.get_peer(node)
         pending.outstanding[node] = peer.submit(attempt, handle_result, handle_suspect)
 
+    def _select_endpoint(
+        self, pending: PendingRequest, now: float
+    ) -> endpoint_selection.Candidate | None:
+        """Selects the endpoint for an attempt.
+
+        A request that may crash it is not sent while few endpoints are left.
+        """
+        candidates = self._get_candidates(pending, now)
+        if self._get_standing(pending, now) is crash_history.Standing.CLEAR:
+            return endpoint_selection.select_endpoint(candidates, self._rng)
+        if not self._endpoints.can_spare_endpoint(pending.service):
+            pending.last_reason = data.RefusalReason.SUSPECT
+            return None
+        return endpoint_selection.select_endpoint_for_suspect(
+            candidates, pending.fingerprint
+        )
+
     def _get_candidates(
         self, pending: PendingRequest, now: float
     ) -> list[endpoint_selection.Candidate]:
@@ -248,6 +273,8 @@
             or len(pending.outstanding) > 1
         ):
             return
+        if self._get_standing(pending, now) is not crash_history.Standing.CLEAR:
+            return
         if not self._endpoints.has_healthy_endpoint(
             pending.service, pending.route.name, pending.tried_nodes, now
         ):
@@ -316,6 +343,12 @@
             return NextStep.MAY_HAVE_RUN
         if pending.outstanding:
             return NextStep.WAIT
+        is_blocked = pending.last_reason is data.RefusalReason.BLOCKED
+        if (
+            is_blocked
+            or self._get_standing(pending, now) is crash_history.Standing.BLOCKED
+        ):
+            return NextStep.BLOCKED
         if reached_endpoint:
             return NextStep(self._retry_policy.decide_and_charge(pending, now).value)
         pending.redispatch_count += 1
@@ -332,6 +365,8 @@
     ) -> None:
         elapsed_s = now - pending.head_received_at
         route = pending.route.name
+        if not self._history.is_empty:
+            self._history.record_response(self._get_fingerprint(pending))
         self._metrics.record_latency("answer", f'route="{route}"', elapsed_s)
         self._metrics.count("answers", f'route="{route}",status="{result.status}"')
         is_server_error = result.status >= 500
@@ -373,13 +408,22 @@
     ) -> None:
         """Sends a 503 response with a Retry-After header: the request has not run."""
         self._release(pending)
-        retry_after_s = self._compute_retry_after_s(pending)
+        retry_after_s = self._compute_retry_after_s(pending, reason)
         self._record_own_response(pending, 503, reason)
         pending.connection.send_status(503, b"Retry-After: %.3f\r\n" % retry_after_s)
 
-    def _compute_retry_after_s(self, pending: PendingRequest) -> float:
+    def _compute_retry_after_s(
+        self, pending: PendingRequest, reason: data.RefusalReason
+    ) -> float:
         if pending.route is None:
             return NO_CONFIG_RETRY_AFTER_S
+        if reason is data.RefusalReason.BLOCKED:
+            block_s = self._history.get_remaining_block_s(
+                self._loop.time(), pending.fingerprint
+            )
+            return max(MIN_BLOCKED_RETRY_AFTER_S, block_s)
+        if reason is data.RefusalReason.SUSPECT:
+            return SUSPECT_RETRY_AFTER_S
         remaining_s = max(0.0, pending.expires_at - self._loop.time())
         target_latency_s = pending.route.target_latency_s
         return min(remaining_s / 3.0, target_latency_s * self._rng.uniform(0.2, 0.5))
@@ -466,12 +510,23 @@
                 next=next_step.value,
                 rank=pending.rank,
                 call=pending.is_nested_call,
-                request=self._format_fingerprint(pending),
+                request=fingerprint.format_fingerprint(self._get_fingerprint(pending)),
             )
 
-    def _format_fingerprint(self, pending: PendingRequest) -> str:
-        return fingerprint.format_fingerprint(
-            fingerprint.compute_fingerprint(
+    def _get_standing(
+        self, pending: PendingRequest, now: float
+    ) -> crash_history.Standing:
+        """Returns whether a request may run, given the crashes of endpoints."""
+        if self._history.is_empty:
+            return crash_history.Standing.CLEAR
+        return self._history.get_standing(now, self._get_fingerprint(pending))
+
+    def _get_fingerprint(self, pending: PendingRequest) -> bytes:
+        """Returns the fingerprint of a request; it is computed at the first call."""
+        if not pending.fingerprint:
+            if not pending.head:
+                pending.head = self._head_builder.build(pending.request)
+            pending.fingerprint = fingerprint.compute_fingerprint(
                 pending.service, pending.head, pending.request.body
             )
-        )
+        return pending.fingerprint
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/pending_request.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/pending_request.py
@@ -27,6 +27,7 @@
         first attempt.
     :ivar rank: importance; 0 is the highest.
     :ivar tried_nodes: addresses of the nodes that attempts were sent to.
+    :ivar fingerprint: fingerprint of the request; empty until it is needed.
     :ivar outstanding: attempts without a result by node: None with a local execution,
         or the connection to a peer with the number of the attempt on it.
     """
@@ -37,6 +38,7 @@
         "is_nested_call",
         "connection",
         "expires_at",
+        "fingerprint",
         "on_client_disconnect",
         "head",
         "last_reason",
@@ -69,6 +71,7 @@
         self.route: data.Route | None = None
         self.service = ""
         self.head = b""
+        self.fingerprint = b""
         self.head_received_at = request.head_received_at
         self.expires_at = 0.0
         self.max_attempts = 1
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
@@ -5,7 +5,7 @@
 from typing import Any, NamedTuple
 
 from .. import data
-from ..crashes import crash, fingerprint
+from ..crashes import crash, crash_reporter
 from ..routing import call_graph
 from . import (
     endpoint_client,
@@ -15,6 +15,7 @@
     rate_limiter,
     response_notices,
     service_times,
+    suspect_runs,
 )
 
 MIN_REMAINING_S = 0.005
@@ -34,7 +35,6 @@
 
 
 NoticeCallback = Callable[[NoticeSource, response_notices.Notice], None]
-CrashCallback = Callable[[crash.EndpointCrash], None]
 
 
 class Attempt(NamedTuple):
@@ -50,6 +50,8 @@
     :param head: encoded head without the empty line at its end and without the headers
         for the deadline and the target, which are added here.
     :param body: complete body.
+    :param suspect_crashes: number of crashes of endpoints at which the request ran, as
+        far as the sender knows; see :mod:`..crashes.crash_history`.
     """
 
     request_id: bytes
@@ -61,6 +63,7 @@
     target_latency_s: float
     head: bytes
     body: bytes
+    suspect_crashes: int = 0
 
 
 class AttemptResult(NamedTuple):
@@ -92,9 +95,11 @@
     :ivar submitted_at: time of the event loop when it was submitted, in seconds.
     :ivar started_at: time of the event loop when it got a slot, in seconds.
     :ivar deadline: time of the event loop after which it is of no use, in seconds.
+    :ivar fingerprint: fingerprint of the request; empty until it is needed.
     """
 
     __slots__ = (
+        "fingerprint",
         "submitted_at",
         "on_complete",
         "deadline",
@@ -118,6 +123,7 @@
         self.submitted_at = 0.0
         self.started_at = 0.0
         self.deadline = 0.0
+        self.fingerprint = b""
 
 
 class LocalEndpoint:
@@ -129,8 +135,7 @@
     :param metrics: records queue and service times; see
         :class:`..telemetry.metrics.Metrics`.
     :param on_notice: called with the notice in each response of the endpoint.
-    :param on_crash: called when the endpoint has crashed, before the requests that it
-        ran get their results.
+    :param crashes: is told of crashes, and knows the suspects and blocked requests.
     :ivar running_requests: requests that run at the endpoint.
     :ivar queue: requests that are queued for the endpoint.
     :ivar service_times: service times of the endpoint by route.
@@ -146,7 +151,7 @@
         graph: call_graph.CallGraph,
         metrics: Any,
         on_notice: NoticeCallback,
-        on_crash: CrashCallback,
+        crashes: crash_reporter.CrashReporter,
     ) -> None:
         self._loop = loop
         self._tracker = tracker
@@ -154,8 +159,9 @@
         self._graph = graph
         self._metrics = metrics
         self._on_notice = on_notice
-        self._on_crash = on_crash
+        self._crashes = crashes
         self._running: dict[Execution, None] = {}
+        self._suspect_runs = suspect_runs.SuspectRuns(crashes.history)
         pool.crash_detector.on_crash = self._handle_crash
         self._sent_count = 0
         self._named_limit = rate_limiter.NamedRateLimit()
@@ -201,22 +207,7 @@
         if current.service != attempt.service:
             self._refuse(execution, data.RefusalReason.WRONG_SERVICE)
             return execution
-        has_slot, queue_number = self.queue.offer(
-            now,
-            is_nested_call=attempt.is_nested_call,
-            rank=attempt.rank,
-            remaining_s=attempt.remaining_s,
-            target_latency_s=attempt.target_latency_s,
-            item=execution,
-            work_s=self.service_times.get_occupancy_s(attempt.route),
-        )
-        if has_slot:
-            self._start(execution, now)
-        elif queue_number is None:
-            self._refuse(execution, data.RefusalReason.OVERLOADED)
-        else:
-            execution.queue_number = queue_number
-            self._schedule_run(now)
+        self._enqueue(execution, now)
         return execution
 
     def cancel(self, execution: Execution) -> None:
@@ -225,6 +216,8 @@
             return
         execution.on_complete = None
         if execution.is_running:
+            if execution.exchange.started_at:
+                self._suspect_runs.record_cancel(execution, self._loop.time())
             execution.exchange.cancel()
             self._release_slot(execution, None)
         elif execution.queue_number is not None:
@@ -243,10 +236,11 @@
         """
         for execution in self.queue.pop_expired(now):
             self._refuse(execution, data.RefusalReason.QUEUE_TIMEOUT)
+        self._run_waiting_suspects(now)
 
     def refuse_queued(self) -> None:
         """Refuses all queued attempts because the endpoint drains or is gone."""
-        for execution in self.queue.pop_all():
+        for execution in [*self.queue.pop_all(), *self._suspect_runs.pop_all()]:
             self._refuse(execution, data.RefusalReason.ENDPOINT_LEAVING)
 
     def pop_sent_count(self) -> int:
@@ -254,6 +248,54 @@
         sent_count, self._sent_count = self._sent_count, 0
         return sent_count
 
+    def _enqueue(self, execution: Execution, now: float) -> None:
+        """Starts, queues or refuses an attempt for which the endpoint is the right one.
+
+        :param now: time of the event loop in seconds.
+        """
+        attempt = execution.attempt
+        has_slot, queue_number = self.queue.offer(
+            now,
+            is_nested_call=attempt.is_nested_call,
+            rank=attempt.rank,
+            remaining_s=execution.deadline - now,
+            target_latency_s=attempt.target_latency_s,
+            item=execution,
+            work_s=self.service_times.get_occupancy_s(attempt.route),
+        )
+        if has_slot:
+            self._start_or_wait(execution, now)
+        elif queue_number is None:
+            self._refuse(execution, data.RefusalReason.OVERLOADED)
+        else:
+            execution.queue_number = queue_number
+            self._schedule_run(now)
+
+    def _start_or_wait(self, execution: Execution, now: float) -> None:
+        """Starts an attempt that got a slot, unless it may not run beside others."""
+        execution.queue_number = None
+        decision = self._suspect_runs.decide(now, execution)
+        if decision is suspect_runs.Decision.RUN:
+            self._start(execution, now)
+            return
+        self.queue.release_slot(None)
+        if decision is suspect_runs.Decision.REFUSE:
+            self._refuse(execution, data.RefusalReason.BLOCKED)
+        elif not self._suspect_runs.wait(execution, now, self.queue.service_time_s):
+            self._refuse(execution, data.RefusalReason.OVERLOADED)
+
+    def _run_waiting_suspects(self, now: float) -> None:
+        """Continues with the attempts that waited for the turn of a suspect."""
+        if not self._suspect_runs.waiting_count:
+            return
+        ready = self._suspect_runs.pop_ready(now)
+        for execution in ready.blocked:
+            self._refuse(execution, data.RefusalReason.BLOCKED)
+        for execution in ready.expired:
+            self._refuse(execution, data.RefusalReason.QUEUE_TIMEOUT)
+        for execution in ready.runnable:
+            self._enqueue(execution, now)
+
     def _start(self, execution: Execution, now: float) -> None:
         attempt = execution.attempt
         current = self._tracker.current
@@ -320,6 +362,8 @@
             self._tracker.suspend()
             self._pool.failed_connects = 0
             self.refuse_queued()
+        if outcome is data.Outcome.ANSWERED and not self._crashes.history.is_empty:
+            self._crashes.handle_response(suspect_runs.get_fingerprint(execution))
         if counted_service_time_s is not None and status < 300:
             running_request = execution.running_request
             self._graph.record_run(running_request)
@@ -344,19 +388,24 @@
             return
         execution.is_running = False
         self._running.pop(execution, None)
+        self._suspect_runs.end(execution)
         if execution.running_request is not None:
             self.running_requests.remove(execution.running_request)
         self.queue.release_slot(service_time_s)
         self._run_queued()
+        self._run_waiting_suspects(self._loop.time())
 
     def _run_queued(self) -> None:
         """Starts queued attempts while slots and rate limit allow it."""
         now = self._loop.time()
-        runnable, expired = self.queue.pop_runnable(now)
-        for expired_execution in expired:
-            self._refuse(expired_execution, data.RefusalReason.QUEUE_TIMEOUT)
-        for next_execution in runnable:
-            self._start(next_execution, now)
+        while True:
+            runnable, expired = self.queue.pop_runnable(now)
+            for expired_execution in expired:
+                self._refuse(expired_execution, data.RefusalReason.QUEUE_TIMEOUT)
+            if not runnable:
+                break
+            for next_execution in runnable:
+                self._start_or_wait(next_execution, now)
         self._schedule_run(now)
 
     def _schedule_run(self, now: float) -> None:
@@ -385,18 +434,24 @@
         self._on_notice(source, notice)
 
     def _handle_crash(self) -> None:
-        """Reports the requests that had been sent when the endpoint crashed."""
-        now = self._loop.time()
+        """Handles a crash of the endpoint, unless it had said that it leaves.
+
+        The requests that had been sent are reported before they get their results,
+        because the nodes that sent them decide on a retry.
+        """
         current = self._tracker.current
-        if current is None:
+        if current is None or self._tracker.is_leaving:
             return
+        now = self._loop.time()
         sent = [each for each in self._running if each.exchange.started_at]
-        runs = tuple(build_crashed_run(each, now) for each in reversed(sent))
-        self._on_crash(
+        runs = self._suspect_runs.build_runs(reversed(sent), now)
+        self._tracker.suspend()
+        self._crashes.handle_crash(
             crash.EndpointCrash(
                 current.instance, current.start_ms, current.service, runs
             )
         )
+        self.refuse_queued()
 
     def _refuse(self, execution: Execution, reason: data.RefusalReason) -> None:
         on_complete, execution.on_complete = execution.on_complete, None
@@ -405,16 +460,3 @@
             on_complete(
                 AttemptResult(data.Outcome.NOT_RUN, reason, 0, b"", b"", queued_s, 0.0)
             )
-
-
-def build_crashed_run(execution: Execution, now: float) -> crash.CrashedRun:
-    """Builds the record of a request that ran when the endpoint crashed.
-
-    :param now: time of the event loop in seconds.
-    """
-    attempt = execution.attempt
-    return crash.CrashedRun(
-        attempt.request_id,
-        fingerprint.compute_fingerprint(attempt.service, attempt.head, attempt.body),
-        now - execution.exchange.started_at,
-    )
--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/suspect_runs.py
@@ -0,0 +1,203 @@
+"""Decides which attempts may start at the local endpoint, given earlier crashes."""
+
+import collections
+import enum
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, NamedTuple
+
+from ..crashes import crash, crash_history, fingerprint, isolation
+from . import endpoint_queue
+
+if TYPE_CHECKING:
+    from . import local_endpoint
+
+
+MAX_CANCELLED = 64
+CANCELLED_COUNTS_S = 1.0
+
+
+class Decision(enum.Enum):
+    """What happens to an attempt that could start."""
+
+    RUN = "run"
+    WAIT = "wait"
+    REFUSE = "refuse"
+
+
+class ReadyAttempts(NamedTuple):
+    """Attempts that no longer wait for the turn of a suspect.
+
+    :param runnable: attempts that may run now.
+    :param expired: attempts that have waited too long.
+    :param blocked: attempts of requests that have been blocked since.
+    """
+
+    runnable: list["local_endpoint.Execution"]
+    expired: list["local_endpoint.Execution"]
+    blocked: list["local_endpoint.Execution"]
+
+
+class CancelledRun(NamedTuple):
+    """An attempt that was cancelled while it ran.
+
+    :param cancelled_at: time of the event loop, in seconds.
+    :param was_suspect: whether it ran as a suspect.
+    """
+
+    execution: "local_endpoint.Execution"
+    cancelled_at: float
+    was_suspect: bool
+
+
+class SuspectRuns:
+    """Runs of suspects at the local endpoint.
+
+    :param history: suspects and blocked requests.
+    """
+
+    def __init__(self, history: crash_history.CrashHistory) -> None:
+        self._history = history
+        self._isolation = isolation.Isolation()
+        self._cancelled: collections.deque[CancelledRun] = collections.deque(
+            maxlen=MAX_CANCELLED
+        )
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of attempts that wait for the turn of a suspect."""
+        return self._isolation.waiting_count
+
+    def decide(self, now: float, execution: "local_endpoint.Execution") -> Decision:
+        """Decides whether an attempt may start; gives it the turn if it is a suspect.
+
+        :param now: time of the event loop in seconds.
+        """
+        attempt = execution.attempt
+        if self._history.is_empty and not attempt.suspect_crashes:
+            return Decision.RUN
+        identity = get_fingerprint(execution)
+        if attempt.suspect_crashes:
+            self._history.record_suspicion(now, identity, attempt.suspect_crashes)
+        standing = self._history.get_standing(now, identity)
+        if standing is crash_history.Standing.CLEAR:
+            return Decision.RUN
+        if standing is crash_history.Standing.BLOCKED:
+            return Decision.REFUSE
+        crash_count = self._history.get_crash_count(identity)
+        if self._isolation.start(now, execution, crash_count):
+            return Decision.RUN
+        return Decision.WAIT
+
+    def wait(
+        self,
+        execution: "local_endpoint.Execution",
+        now: float,
+        service_time_s: float,
+    ) -> bool:
+        """Lets an attempt wait for its turn.
+
+        :param service_time_s: average time at the endpoint, in seconds.
+        :returns: False if too many wait.
+        """
+        attempt = execution.attempt
+        wait_s = endpoint_queue.compute_wait_budget_s(
+            execution.deadline - now,
+            attempt.target_latency_s,
+            service_time_s,
+            attempt.is_nested_call,
+        )
+        return self._isolation.wait(execution, now + wait_s)
+
+    def end(self, execution: "local_endpoint.Execution") -> None:
+        """Ends the run of an attempt, if it ran as a suspect."""
+        self._isolation.end(execution)
+
+    def pop_ready(self, now: float) -> ReadyAttempts:
+        """Removes the attempts that need not wait any longer.
+
+        Suspects are taken in the order of their arrival, at most one of them.
+
+        :param now: time of the event loop in seconds.
+        """
+        ready = ReadyAttempts([], [], [])
+        may_take_turn = self._isolation.is_turn_free(now)
+        for waiting in self._isolation.pop_waiting():
+            execution = waiting.item
+            if execution.on_complete is None:
+                continue
+            standing = self._history.get_standing(now, get_fingerprint(execution))
+            if standing is crash_history.Standing.BLOCKED:
+                ready.blocked.append(execution)
+            elif now > waiting.expires_at:
+                ready.expired.append(execution)
+            elif standing is crash_history.Standing.CLEAR:
+                ready.runnable.append(execution)
+            elif may_take_turn:
+                may_take_turn = False
+                ready.runnable.append(execution)
+            else:
+                self._isolation.wait(execution, waiting.expires_at)
+        return ready
+
+    def pop_all(self) -> list["local_endpoint.Execution"]:
+        """Removes and returns the attempts that wait."""
+        return [waiting.item for waiting in self._isolation.pop_waiting()]
+
+    def record_cancel(self, execution: "local_endpoint.Execution", now: float) -> None:
+        """Records that an attempt was cancelled while it ran.
+
+        :param now: time of the event loop in seconds.
+        """
+        was_suspect = self._isolation.has_started(execution)
+        self._cancelled.append(CancelledRun(execution, now, was_suspect))
+
+    def build_runs(
+        self, running: Iterable["local_endpoint.Execution"], now: float
+    ) -> tuple[crash.CrashedRun, ...]:
+        """Builds the records of the attempts that ran when the endpoint crashed.
+
+        Those that were cancelled shortly before count as well: the endpoint may have
+        worked on one of them.
+
+        :param running: attempts that have been sent and have no response.
+        :param now: time of the event loop in seconds.
+        """
+        cancelled = [
+            each
+            for each in self._cancelled
+            if now - each.cancelled_at <= CANCELLED_COUNTS_S
+        ]
+        suspects = {get_fingerprint(each) for each in self._isolation.iter_running()}
+        suspects |= {
+            get_fingerprint(each.execution) for each in cancelled if each.was_suspect
+        }
+        only_suspect = suspects.pop() if len(suspects) == 1 else None
+        executions = [*running, *(each.execution for each in cancelled)]
+        return tuple(build_run(each, now, only_suspect) for each in executions)
+
+
+def build_run(
+    execution: "local_endpoint.Execution", now: float, only_suspect: bytes | None
+) -> crash.CrashedRun:
+    """Builds the record of an attempt that ran when the endpoint crashed.
+
+    :param now: time of the event loop in seconds.
+    :param only_suspect: fingerprint of the only suspect; None without one.
+    """
+    identity = get_fingerprint(execution)
+    return crash.CrashedRun(
+        execution.attempt.request_id,
+        identity,
+        now - execution.exchange.started_at,
+        identity == only_suspect,
+    )
+
+
+def get_fingerprint(execution: "local_endpoint.Execution") -> bytes:
+    """Returns the fingerprint of an attempt; it is computed at the first call."""
+    if not execution.fingerprint:
+        attempt = execution.attempt
+        execution.fingerprint = fingerprint.compute_fingerprint(
+            attempt.service, attempt.head, attempt.body
+        )
+    return execution.fingerprint
