Blocked requests are kept in the node records, for a loss of all nodes

What callers would see: after a loss of all nodes at once a blocked request runs again and crashes two more endpoints, until it is known anew. Cause: blocks lived in the memory of nodes and on their connections only. Change: the node whose endpoint crashed keeps the block in its record, one write for each; nodes read all records when they start. A clock that was set never extends a block; a block is kept for an hour after its end, so that a further crash blocks for longer; a response removes it. The field is left out while it is empty, since former versions cannot read a record with it (test); they learn of nodes by their introductions then. A topic of its own was ruled out: a call more at each start of each node.

--- a/packages/catkintiller-relay/src/catkintiller_relay/crashes/crash_history.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/crashes/crash_history.py
@@ -153,8 +153,8 @@
         for fingerprint in culprits:
             previous = self._blocks.get(fingerprint)
             count = 1 if previous is None else previous.count + 1
-            duration_s = BLOCK_DURATIONS_S[min(count, len(BLOCK_DURATIONS_S)) - 1]
-            self._block(fingerprint, Block(now + duration_s, count))
+            ends_at = now + get_block_duration_s(count)
+            self._block(fingerprint, Block(ends_at, count))
         return CrashReport(
             crash_id, event.service, suspects, self._build_records(now, culprits)
         )
@@ -270,6 +270,14 @@
         put_newest(self._crash_ids, crash_id, None, MAX_CRASH_IDS)
 
 
+def get_block_duration_s(count: int) -> float:
+    """Returns for how long a request is blocked, in seconds.
+
+    :param count: how often it has been blocked, this time included.
+    """
+    return BLOCK_DURATIONS_S[min(count, len(BLOCK_DURATIONS_S)) - 1]
+
+
 def put_newest(table: dict, key: bytes, value: object, max_count: int) -> None:
     """Puts an entry at the end of a table and drops the first ones beyond a number."""
     table.pop(key, None)
--- a/packages/catkintiller-relay/src/catkintiller_relay/crashes/crash_reporter.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/crashes/crash_reporter.py
@@ -3,15 +3,16 @@
 import asyncio
 from collections.abc import Callable
 
+from ..membership import crash_messages, frames, store_watcher
 from ..telemetry import events, metrics
-from . import crash, crash_history, fingerprint
+from . import block_store, crash, crash_history, fingerprint
 
 MAX_LOGGED_RUNS = 12
 
 MAX_CLEARED_PER_MESSAGE = 512
 
-SendCleared = Callable[[list[bytes]], None]
-SendReport = Callable[[crash_history.CrashReport, str | None], None]
+CrashMessage = frames.CrashReport | frames.ClearedRequests
+SendMessage = Callable[[CrashMessage, str | None], None]
 
 
 class CrashReporter:
@@ -22,9 +23,10 @@
     connected to a part of the nodes only.
 
     :param service: service of this node's endpoint.
-    :param send_report: sends a report to the connected nodes of a service, or to all.
-    :param send_cleared: sends the fingerprints of cleared requests to all of them.
+    :param send_message: sends a message to the connected nodes of a service, or to all.
+    :param watcher: keeps blocks in the store.
     :ivar history: suspects and blocked requests.
+    :ivar block_store: blocks that survive a restart of all nodes.
     """
 
     def __init__(
@@ -33,16 +35,16 @@
         service: str,
         log: events.EventLog,
         node_metrics: metrics.Metrics,
-        send_report: SendReport,
-        send_cleared: SendCleared,
+        send_message: SendMessage,
+        watcher: store_watcher.StoreWatcher,
     ) -> None:
         self._loop = loop
         self._service = service
         self.history = crash_history.CrashHistory()
+        self.block_store = block_store.BlockStore(watcher, self.history)
         self._log = log
         self._metrics = node_metrics
-        self._send_report = send_report
-        self._send_cleared = send_cleared
+        self._send_message = send_message
         self._newly_cleared: list[bytes] = []
 
     def handle_crash(self, event: crash.EndpointCrash) -> None:
@@ -53,6 +55,7 @@
         self._log_crash(event)
         if not report.blocks:
             return
+        self.block_store.add(report.blocks)
         self._metrics.count(
             "requests_blocked", f'service="{event.service}"', len(report.blocks)
         )
@@ -66,8 +69,9 @@
                 times=block.count,
             )
 
-    def handle_report(self, report: crash_history.CrashReport) -> None:
+    def handle_report(self, message: frames.CrashReport) -> None:
         """Handles what a peer knows."""
+        report = crash_messages.parse_message(message)
         if not self.history.merge(self._loop.time(), report):
             return
         if report.crash_id and report.service == self._service:
@@ -100,6 +104,7 @@
         if previous is crash_history.Standing.SUSPECT:
             self._metrics.count("suspects_cleared", f'service="{self._service}"')
             return
+        self.block_store.remove(identity)
         self._metrics.count("requests_unblocked", f'service="{self._service}"')
         self._log.write(
             "crash",
@@ -107,16 +112,29 @@
             request=fingerprint.format_fingerprint(identity),
         )
 
-    def handle_cleared(self, identities: list[bytes]) -> None:
+    def handle_cleared(self, message: frames.ClearedRequests) -> None:
         """Handles the requests to which a peer's endpoint has responded."""
-        for identity in identities:
+        for identity in message.fingerprints:
             self.history.record_response(identity)
+            self.block_store.remove(identity)
 
     def send_newly_cleared(self) -> None:
         """Tells the peers which requests were cleared here since the last call."""
         if self._newly_cleared:
             identities, self._newly_cleared = self._newly_cleared, []
-            self._send_cleared(identities)
+            self._send_message(frames.ClearedRequests(identities), None)
+
+    def build_handover(self) -> frames.CrashReport | None:
+        """Builds the message for a node that has just connected; None without one."""
+        if self.history.is_empty:
+            return None
+        report = self.history.build_handover(self._loop.time())
+        return crash_messages.build_message(report)
+
+    def _send_report(
+        self, report: crash_history.CrashReport, service: str | None
+    ) -> None:
+        self._send_message(crash_messages.build_message(report), service)
 
     def _log_crash(self, event: crash.EndpointCrash) -> None:
         if not self._log.reserve_line("crash", failure=True):
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/store_watcher.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/store_watcher.py
@@ -28,6 +28,7 @@
 FIRST_POLL_DELAY_S = 1.5  # until the nodes have chosen those that go on reading
 RECORD_CHECK_INTERVAL_S = 10.0
 MAX_TOMBSTONE_COUNT = 8
+MAX_BLOCK_COUNT = 32
 # After a restore all nodes write their records; those with tombstones go first.
 MAX_URGENT_WRITE_DELAY_S = 0.3
 MIN_WRITE_SPREAD_S = 1.0
@@ -37,6 +38,19 @@
 Result = TypeVar("Result")
 
 
+class StoredBlock(NamedTuple):
+    """A request that is not run because it crashed endpoints.
+
+    :param fingerprint: see :mod:`..crashes.fingerprint`.
+    :param ends_at_ms: Unix time at which it may run once more, in milliseconds.
+    :param count: how often it has been blocked.
+    """
+
+    fingerprint: bytes
+    ends_at_ms: int
+    count: int
+
+
 class NodeRecord(NamedTuple):
     """Record that a node writes about itself into the store.
 
@@ -47,6 +61,9 @@
         them here.
     :param tombstones: instance IDs of endpoints that announced their departure to it,
         with the Unix times of their starts in milliseconds.
+    :param blocks: requests that were blocked after a crash of its endpoint. Nodes of
+        former versions cannot read a record with this field, so it is left out while
+        it is empty.
     """
 
     address: str
@@ -55,6 +72,7 @@
     boot_id: str
     edges: tuple[call_graph.Edge, ...] = ()
     tombstones: tuple[tuple[str, int], ...] = ()
+    blocks: tuple[StoredBlock, ...] = ()
 
 
 class StoreWatcher:
@@ -72,6 +90,8 @@
     :ivar local_edges: edges of the call graph counted at this node.
     :ivar tombstones: start times, in Unix milliseconds, of endpoints that announced
         their departure, by instance ID; in the order of the announcements.
+    :ivar blocks: requests that were blocked after a crash of this node's endpoint, by
+        fingerprint, in the order of the crashes.
     """
 
     def __init__(
@@ -112,6 +132,7 @@
         self.nodes_listed = False
         self.local_edges: tuple[call_graph.Edge, ...] = ()
         self.tombstones: dict[str, int] = {}
+        self.blocks: dict[bytes, StoredBlock] = {}
 
     @property
     def restore_count(self) -> int:
@@ -254,7 +275,7 @@
 
     def _draw_write_delay_s(self) -> float:
         """Draws the time until the record is written, so that nodes take turns."""
-        if self.tombstones:
+        if self.tombstones or self.blocks:
             return MAX_URGENT_WRITE_DELAY_S * self._rng.random()
         spread_s = max(MIN_WRITE_SPREAD_S, self._record_count / RECORD_WRITES_PER_S)
         return spread_s * self._rng.random()
@@ -279,9 +300,9 @@
             self._boot_id,
             self.local_edges,
             self._get_newest_tombstones(),
+            self._get_newest_blocks(),
         )
-        value = msgspec.msgpack.encode(record)
-        await self._store.write_node_record(self._settings.node, value)
+        await self._store.write_node_record(self._settings.node, encode_record(record))
         self._written_edges |= {edge[:3] for edge in record.edges}
         self._check_restore()
 
@@ -332,17 +353,23 @@
             self._handle_record(stored.key, record)
 
     def _is_complete(self, record: NodeRecord) -> bool:
-        """Returns whether a record tells how to reach this node, and its tombstones."""
+        """Returns whether a record has this node's address, tombstones and blocks."""
         settings = self._settings
         return (record.address, record.zone, record.service) == (
             settings.inbound,
             settings.zone,
             settings.service,
-        ) and set(self._get_newest_tombstones()) <= set(record.tombstones)
+        ) and (
+            set(self._get_newest_tombstones()) <= set(record.tombstones)
+            and set(self._get_newest_blocks()) <= set(record.blocks)
+        )
 
     def _get_newest_tombstones(self) -> tuple[tuple[str, int], ...]:
         return tuple(self.tombstones.items())[-MAX_TOMBSTONE_COUNT:]
 
+    def _get_newest_blocks(self) -> tuple[StoredBlock, ...]:
+        return tuple(self.blocks.values())[-MAX_BLOCK_COUNT:]
+
     def _check_restore(self) -> None:
         count = self._store.restore_count
         if count is not None:
@@ -362,3 +389,8 @@
             self._log.write("store", "Store is reachable again.")
         else:
             self._log.write("store", "Store call failed.", why=reason)
+
+
+def encode_record(record: NodeRecord) -> bytes:
+    """Encodes a node record, without its last field if that is empty."""
+    return msgspec.msgpack.encode(record if record.blocks else tuple(record)[:-1])
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -6,13 +6,12 @@
 import signal
 
 from . import data, interfaces
-from .crashes import crash_history, crash_reporter
+from .crashes import crash_reporter
 from .ingress import http1
 from .membership import (
     config_role,
     config_sync,
     connections,
-    crash_messages,
     frames,
     node_state,
     peer_observer,
@@ -29,7 +28,7 @@
     notice_handler,
     service_times,
 )
-from .telemetry import events, gauges, metrics
+from .telemetry import events, gauges, load_line, metrics, status_pages
 
 TICK_INTERVAL_S = 0.05
 ADMISSION_INTERVAL_S = 0.1
@@ -127,8 +126,8 @@
             settings.service,
             log,
             self.metrics,
-            self._send_crash_report,
-            self._send_cleared,
+            self._send_crash_message,
+            self._store_watcher,
         )
         self._local_endpoint = local_endpoint.LocalEndpoint(
             loop,
@@ -170,8 +169,16 @@
         self._peer_server = peer_server.PeerServer(loop, self._local_endpoint, self)
         self._outbound_server = self._create_server(self._forwarder.handle_request)
         self._admin_server = self._create_server(self._announcements.handle_request)
-        self._readiness_server = self._create_server(self._handle_readiness)
-        self._metrics_server = self._create_server(self._handle_metrics)
+        pages = status_pages.StatusPages(
+            platform,
+            self.metrics,
+            self._peers,
+            self._local_endpoint,
+            lambda: self.ready,
+            self._get_gauge_values,
+        )
+        self._readiness_server = self._create_server(pages.handle_readiness)
+        self._metrics_server = self._create_server(pages.handle_metrics)
 
     @property
     def _config_version(self) -> int:
@@ -247,30 +254,22 @@
 
     def handle_crash_report(self, message: frames.CrashReport) -> None:
         """Adds what a peer knows about crashes of endpoints."""
-        self._crash_reporter.handle_report(crash_messages.parse_message(message))
+        self._crash_reporter.handle_report(message)
 
     def handle_cleared_requests(self, message: frames.ClearedRequests) -> None:
         """Clears requests to which a peer's endpoint has responded."""
-        self._crash_reporter.handle_cleared(message.fingerprints)
+        self._crash_reporter.handle_cleared(message)
 
     def build_crash_handover(self) -> frames.CrashReport | None:
         """Builds the message with all that this node knows about crashes."""
-        history = self._crash_reporter.history
-        if history.is_empty:
-            return None
-        report = history.build_handover(self._loop.time())
-        return crash_messages.build_message(report)
+        return self._crash_reporter.build_handover()
 
-    def _send_crash_report(
-        self, report: crash_history.CrashReport, service: str | None
+    def _send_crash_message(
+        self, message: crash_reporter.CrashMessage, service: str | None
     ) -> None:
-        message = crash_messages.build_message(report)
         self._peer_server.send_crash_message(message, service)
         self._broadcast_state()
 
-    def _send_cleared(self, fingerprints: list[bytes]) -> None:
-        self._peer_server.send_crash_message(frames.ClearedRequests(fingerprints))
-
     def get_config(self) -> data.Config | None:
         """Returns the config in force."""
         return self._config
@@ -311,35 +310,25 @@
     def _record_rejection(self, status: int) -> None:
         self.metrics.count("bad_requests", f'status="{status}"')
 
-    def _handle_readiness(
-        self, connection: http1.ServerConnection, request: http1.Request
-    ) -> None:
-        path = request.target.decode("latin-1")
-        method = request.method.decode("latin-1")
-        if not self._platform.is_readiness_path(method, path):
-            connection.send_status(404)
-            return
-        connection.send_status(200 if self.ready else 503)
-
-    def _handle_metrics(
-        self, connection: http1.ServerConnection, request: http1.Request
-    ) -> None:
+    def _get_gauge_values(self) -> gauges.GaugeValues:
         config = self._config
         now = self._loop.time()
-        gauge_values = gauges.GaugeValues(
+        history = self._crash_reporter.history
+        return gauges.GaugeValues(
             config.version if config is not None else None,
             now - self._config_applied_at,
             self._forwarder.pending_count,
             self._forwarder.get_remaining_retries(now),
             self._store_watcher.store_calls,
+            history.suspect_count,
+            history.block_count,
         )
-        peers = list(self._peers.peers.values())
-        gauges.set_gauges(self.metrics, gauge_values, peers, self._local_endpoint)
-        connection.send_status(200, body=self.metrics.format_text().encode())
 
     def _handle_node_record(self, key: str, record: store_watcher.NodeRecord) -> None:
         self._merge_edges(list(record.edges))
-        if key == self._settings.node:
+        is_own = key == self._settings.node
+        self._crash_reporter.block_store.load(self._loop.time(), record, is_own=is_own)
+        if is_own:
             self._announcements.restore_tombstones(record)
         self._peers.add_member(
             subsetting.Member(record.address, record.zone, record.service)
@@ -417,7 +406,7 @@
                 next_sweep_at = now + SWEEP_INTERVAL_S
                 self._outbound_server.close_timed_out(now)
                 self._crash_reporter.history.drop_expired(now)
-                self._log_load()
+                load_line.write_line(self._log, self._local_endpoint, self._forwarder)
             self._log.flush()
 
     def _draw_role_check_delay_s(self) -> float:
@@ -443,23 +432,6 @@
                 "chain", "Edge added to the call graph.", **new_edge._asdict()
             )
 
-    def _log_load(self) -> None:
-        queue = self._local_endpoint.queue
-        self._log.write(
-            "queue",
-            "Load of the endpoint.",
-            running=queue.running_count,
-            waiting=queue.queued_count,
-            limit=queue.concurrency_limit,
-            sent=self._local_endpoint.pop_sent_count(),
-            rate_limit=queue.rate_limit,
-            service_ms=round(queue.service_time_s * 1000, 1),
-            use=round(queue.utilization, 2),
-            refused=queue.pop_refused_count(),
-            pending=self._forwarder.pending_count,
-            shares=self._forwarder.admission.get_admitted_shares(),
-        )
-
     def _refresh_edges(self) -> None:
         """Updates the edges counted here; they are sent if one has changed enough."""
         edges = self._graph.get_local_edges()
--- a/packages/catkintiller-relay/src/catkintiller_relay/telemetry/gauges.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/telemetry/gauges.py
@@ -16,6 +16,8 @@
     :param pending_count: number of requests that have not been answered yet.
     :param remaining_retries: retries left in the retry budget, by service.
     :param store_calls: number of calls to the store, by kind and result.
+    :param suspect_count: requests that may crash endpoints, as far as the node knows.
+    :param block_count: requests that are or have been blocked for that.
     """
 
     config_version: int | None
@@ -23,6 +25,8 @@
     pending_count: int
     remaining_retries: Mapping[str, float]
     store_calls: Mapping[tuple[str, str], int]
+    suspect_count: int
+    block_count: int
 
 
 def set_gauges(
@@ -46,6 +50,8 @@
     node_metrics.set_gauge("endpoint_waiting", "", endpoint.queue.queued_count)
     node_metrics.set_gauge("endpoint_usable_slots", "", endpoint.queue.usable_slots)
     node_metrics.set_gauge("pending", "", values.pending_count)
+    node_metrics.set_gauge("crash_suspects", "", values.suspect_count)
+    node_metrics.set_gauge("blocked_requests", "", values.block_count)
     for service, remaining in values.remaining_retries.items():
         node_metrics.set_gauge("retry_budget_left", f'service="{service}"', remaining)
     for (call, result), count in values.store_calls.items():
