--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -22,6 +22,7 @@
     endpoint_selection,
     failure_tracker,
     request_head,
+    request_log,
     retry_policy,
     route_table,
 )
@@ -82,11 +83,12 @@
         self.admission = admission.AdmissionController(endpoints, graph)
         self._graph = graph
         self._history = history
-        self._log = log
         self._metrics = node_metrics
+        self._request_log = request_log.RequestLog(
+            loop, log, node_metrics, self.admission
+        )
         self._rng = rng
         self._route_table: route_table.RouteTable | None = None
-        self._config_version = 0
         self._head_builder = request_head.RequestHeadBuilder(
             header_names, settings.service
         )
@@ -104,7 +106,7 @@
         """Applies a config."""
         self._route_table = route_table.RouteTable(config)
         self._retry_policy.set_config(config)
-        self._config_version = config.version
+        self._request_log.config_version = config.version
 
     def get_remaining_retries(self, now: float) -> dict[str, float]:
         """Returns the number of retries left for root requests by service."""
@@ -286,14 +288,7 @@
             return
         pending.may_have_run = True
         pending.last_reason = data.RefusalReason.NODE_LOST
-        self._metrics.count("second_attempts", f'service="{pending.service}"')
-        if self._log.reserve_line("attempt", failure=True, reason="suspect"):
-            self._log.write(
-                "attempt",
-                "Hedged attempt sent: the node of the first one is suspect.",
-                id=pending.request_id.decode("latin-1"),
-                at=node,
-            )
+        self._request_log.record_hedged_attempt(pending, node)
         self._send_attempt(pending, now)
 
     def _handle_result(
@@ -318,7 +313,7 @@
         if outcome is data.Outcome.UNKNOWN:
             pending.may_have_run = True
         next_step = self._decide_next_step(pending, reached_endpoint, now)
-        self._record_attempt_failure(pending, node, result, next_step)
+        self._request_log.record_attempt_failure(pending, node, result, next_step.value)
         if next_step is NextStep.WAIT:
             return
         if next_step is NextStep.RETRY or next_step is NextStep.REDISPATCH:
@@ -363,12 +358,9 @@
         result: local_endpoint.AttemptResult,
         now: float,
     ) -> None:
-        elapsed_s = now - pending.head_received_at
-        route = pending.route.name
+        self._request_log.record_response(pending, node, result.status)
         if not self._history.is_empty:
             self._history.record_response(self._get_fingerprint(pending))
-        self._metrics.record_latency("answer", f'route="{route}"', elapsed_s)
-        self._metrics.count("answers", f'route="{route}",status="{result.status}"')
         is_server_error = result.status >= 500
         failure_weight = (
             failure_tracker.SERVER_ERROR_WEIGHT
@@ -376,19 +368,6 @@
             else failure_tracker.SUCCESS_WEIGHT
         )
         self._endpoints.record_result(node, now, failure_weight)
-        if self._log.reserve_line("route", failure=is_server_error):
-            self._log.write(
-                "route",
-                "Request answered.",
-                id=pending.request_id.decode("latin-1"),
-                route=route,
-                service=pending.service,
-                at=node or "local",
-                status=result.status,
-                ms=round(elapsed_s * 1000, 1),
-                call=pending.is_nested_call,
-                version=self._config_version,
-            )
         self._cancel_outstanding(pending)
         self._release(pending)
         pending.connection.send_response(result.head, result.body)
@@ -464,54 +443,8 @@
     def _record_own_response(
         self, pending: PendingRequest, status: int, reason: data.RefusalReason | None
     ) -> None:
-        reason_value = reason.value if reason else "none"
-        route = pending.route.name if pending.route else ""
-        self._metrics.count(
-            "own_answers", f'route="{route}",status="{status}",reason="{reason_value}"'
-        )
-        if self._log.reserve_line("route", failure=True, reason=reason_value):
-            self._log.write(
-                "route",
-                "Request refused." if status == 503 else "Request failed.",
-                id=pending.request_id.decode("latin-1"),
-                route=route,
-                service=pending.service,
-                status=status,
-                reason=reason_value,
-                sent=pending.endpoint_attempt_count,
-                tried=sorted(pending.tried_nodes),
-                ms=round((self._loop.time() - pending.head_received_at) * 1000, 1),
-                call=pending.is_nested_call,
-                version=self._config_version,
-                shares=self.admission.get_admitted_shares(),
-            )
-
-    def _record_attempt_failure(
-        self,
-        pending: PendingRequest,
-        node: str,
-        result: local_endpoint.AttemptResult,
-        next_step: NextStep,
-    ) -> None:
-        reason_value = result.reason.value if result.reason else ""
-        self._metrics.count(
-            "attempt_failures",
-            f'service="{pending.service}",reason="{reason_value}",'
-            f'next="{next_step.value}"',
-        )
-        if self._log.reserve_line("attempt", failure=True, reason=reason_value):
-            self._log.write(
-                "attempt",
-                "Attempt failed.",
-                id=pending.request_id.decode("latin-1"),
-                at=node or "local",
-                outcome=result.outcome.name.lower(),
-                reason=reason_value,
-                next=next_step.value,
-                rank=pending.rank,
-                call=pending.is_nested_call,
-                request=fingerprint.format_fingerprint(self._get_fingerprint(pending)),
-            )
+        crash_count = self._history.get_crash_count(pending.fingerprint)
+        self._request_log.record_own_response(pending, status, reason, crash_count)
 
     def _get_standing(
         self, pending: PendingRequest, now: float
--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/request_log.py
@@ -0,0 +1,149 @@
+"""Logs and counts what happens to the requests that arrive at this node."""
+
+import asyncio
+
+from .. import data
+from ..crashes import fingerprint
+from ..serving import local_endpoint
+from ..telemetry import events, metrics
+from . import admission, pending_request
+
+
+class RequestLog:
+    """Log lines and counters of requests.
+
+    :param admission_control: what it admits is written with each refusal.
+    :ivar config_version: version of the config in force, written on each line.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        log: events.EventLog,
+        node_metrics: metrics.Metrics,
+        admission_control: admission.AdmissionController,
+    ) -> None:
+        self._loop = loop
+        self._log = log
+        self._metrics = node_metrics
+        self._admission = admission_control
+        self.config_version = 0
+
+    def record_response(
+        self, pending: pending_request.PendingRequest, node: str, status: int
+    ) -> None:
+        """Records the response of an endpoint.
+
+        :param node: address of the node beside it; empty for this one.
+        """
+        elapsed_s = self._loop.time() - pending.head_received_at
+        route = pending.route.name
+        self._metrics.record_latency("answer", f'route="{route}"', elapsed_s)
+        self._metrics.count("answers", f'route="{route}",status="{status}"')
+        if not self._log.reserve_line("route", failure=status >= 500):
+            return
+        self._log.write(
+            "route",
+            "Request answered.",
+            id=pending.request_id.decode("latin-1"),
+            route=route,
+            service=pending.service,
+            at=node or "local",
+            status=status,
+            ms=round(elapsed_s * 1000, 1),
+            call=pending.is_nested_call,
+            version=self.config_version,
+        )
+
+    def record_own_response(
+        self,
+        pending: pending_request.PendingRequest,
+        status: int,
+        reason: data.RefusalReason | None,
+        crash_count: int,
+    ) -> None:
+        """Records a response of this node itself.
+
+        :param crash_count: number of crashes of endpoints at which the request ran.
+        """
+        reason_value = reason.value if reason else "none"
+        route = pending.route.name if pending.route else ""
+        self._metrics.count(
+            "own_answers", f'route="{route}",status="{status}",reason="{reason_value}"'
+        )
+        if not self._log.reserve_line("route", failure=True, reason=reason_value):
+            return
+        crash_fields: dict[str, object] = {}
+        if crash_count:
+            crash_fields = {
+                "request": fingerprint.format_fingerprint(pending.fingerprint),
+                "crashes": crash_count,
+            }
+        self._log.write(
+            "route",
+            "Request refused." if status == 503 else "Request failed.",
+            id=pending.request_id.decode("latin-1"),
+            route=route,
+            service=pending.service,
+            status=status,
+            reason=reason_value,
+            sent=pending.endpoint_attempt_count,
+            tried=sorted(pending.tried_nodes),
+            ms=round((self._loop.time() - pending.head_received_at) * 1000, 1),
+            call=pending.is_nested_call,
+            version=self.config_version,
+            shares=self._admission.get_admitted_shares(),
+            **crash_fields,
+        )
+
+    def record_attempt_failure(
+        self,
+        pending: pending_request.PendingRequest,
+        node: str,
+        result: local_endpoint.AttemptResult,
+        next_step: str,
+    ) -> None:
+        """Records an attempt without a response.
+
+        :param node: address of the node beside the endpoint; empty for this one.
+        :param next_step: what follows it.
+        """
+        reason_value = result.reason.value if result.reason else ""
+        self._metrics.count(
+            "attempt_failures",
+            f'service="{pending.service}",reason="{reason_value}",next="{next_step}"',
+        )
+        if not self._log.reserve_line("attempt", failure=True, reason=reason_value):
+            return
+        self._log.write(
+            "attempt",
+            "Attempt failed.",
+            id=pending.request_id.decode("latin-1"),
+            at=node or "local",
+            outcome=result.outcome.name.lower(),
+            reason=reason_value,
+            next=next_step,
+            rank=pending.rank,
+            call=pending.is_nested_call,
+            request=fingerprint.format_fingerprint(
+                fingerprint.compute_fingerprint(
+                    pending.service, pending.head, pending.request.body
+                )
+            ),
+        )
+
+    def record_hedged_attempt(
+        self, pending: pending_request.PendingRequest, node: str
+    ) -> None:
+        """Records a hedged attempt.
+
+        :param node: address of the suspect node.
+        """
+        self._metrics.count("second_attempts", f'service="{pending.service}"')
+        if self._log.reserve_line("attempt", failure=True, reason="suspect"):
+            self._log.write(
+                "attempt",
+                "Hedged attempt sent: the node of the first one is suspect.",
+                id=pending.request_id.decode("latin-1"),
+                at=node,
+            )
