An endpoint that falls silent before it starts again counts as crashed

What callers would see: a request that makes endpoints fall silent, with their connections open and new ones accepted, does so again and again; other requests wait for their timeouts there. Cause: a crash was known only by refused connections. A new start of an endpoint that had not said that it leaves was taken for a beginning without a past. Change: a new start reports the crash of the previous one, once, with all requests without a response since the endpoint's last response, cancelled ones included.

--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/announcements.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/announcements.py
@@ -178,7 +178,7 @@
             current.instance,
             current.start_ms,
         ):
-            self._local_endpoint.handle_endpoint_start()
+            self._local_endpoint.handle_endpoint_start(previous)
         self._log.write(
             "announce",
             "Endpoint changed.",
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
@@ -19,6 +19,7 @@
 )
 
 MIN_REMAINING_S = 0.005
+CANCELLED_COUNTS_S = 1.0  # an endpoint may go on with a cancelled request
 
 
 class NoticeSource(NamedTuple):
@@ -161,6 +162,8 @@
         self._on_notice = on_notice
         self._crashes = crashes
         self._running: dict[Execution, None] = {}
+        self._crashed_start: tuple[str, int] | None = None
+        self._last_response_at = 0.0
         self._suspect_runs = suspect_runs.SuspectRuns(crashes.history)
         pool.crash_detector.on_crash = self._handle_crash
         self._sent_count = 0
@@ -223,8 +226,16 @@
         elif execution.queue_number is not None:
             self.queue.remove(execution.queue_number)
 
-    def handle_endpoint_start(self) -> None:
-        """Drops what is known about the endpoint because another one has started."""
+    def handle_endpoint_start(self, previous: data.Announcement) -> None:
+        """Drops what is known about the endpoint because another one has started.
+
+        If the previous one had not said that it leaves, it has crashed. It may have
+        fallen silent before, with its connections open.
+
+        :param previous: last announcement of the previous start.
+        """
+        if previous.state is data.EndpointState.READY:
+            self._report_crash(previous, self._last_response_at)
         self.service_times.clear()
         self._named_limit.clear()
         self.queue.set_rate_limit(self._loop.time(), None)
@@ -362,6 +373,8 @@
             self._tracker.suspend()
             self._pool.failed_connects = 0
             self.refuse_queued()
+        if outcome is data.Outcome.ANSWERED:
+            self._last_response_at = now
         if outcome is data.Outcome.ANSWERED and not self._crashes.history.is_empty:
             self._crashes.handle_response(suspect_runs.get_fingerprint(execution))
         if counted_service_time_s is not None and status < 300:
@@ -442,17 +455,30 @@
         current = self._tracker.current
         if current is None or self._tracker.is_leaving:
             return
-        now = self._loop.time()
-        sent = [each for each in self._running if each.exchange.started_at]
-        runs = self._suspect_runs.build_runs(reversed(sent), now)
         self._tracker.suspend()
-        self._crashes.handle_crash(
-            crash.EndpointCrash(
-                current.instance, current.start_ms, current.service, runs
-            )
-        )
+        counted_from = self._loop.time() - CANCELLED_COUNTS_S
+        self._report_crash(current, counted_from)
         self.refuse_queued()
 
+    def _report_crash(
+        self, announced: data.Announcement, cancelled_from: float
+    ) -> None:
+        """Reports a crash once, with the requests that had no response.
+
+        :param announced: last announcement of the start that ended.
+        :param cancelled_from: time of the event loop since which requests that were
+            cancelled count, in seconds.
+        """
+        start = (announced.instance, announced.start_ms)
+        if start == self._crashed_start:
+            return
+        self._crashed_start = start
+        sent = [each for each in self._running if each.exchange.started_at]
+        runs = self._suspect_runs.build_runs(
+            reversed(sent), self._loop.time(), cancelled_from
+        )
+        self._crashes.handle_crash(crash.EndpointCrash(*start, announced.service, runs))
+
     def _refuse(self, execution: Execution, reason: data.RefusalReason) -> None:
         on_complete, execution.on_complete = execution.on_complete, None
         if on_complete is not None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/suspect_runs.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/suspect_runs.py
@@ -13,7 +13,6 @@
 
 
 MAX_CANCELLED = 64
-CANCELLED_COUNTS_S = 1.0
 
 
 class Decision(enum.Enum):
@@ -152,7 +151,10 @@
         self._cancelled.append(CancelledRun(execution, now, was_suspect))
 
     def build_runs(
-        self, running: Iterable["local_endpoint.Execution"], now: float
+        self,
+        running: Iterable["local_endpoint.Execution"],
+        now: float,
+        cancelled_from: float,
     ) -> tuple[crash.CrashedRun, ...]:
         """Builds the records of the attempts that ran when the endpoint crashed.
 
@@ -161,11 +163,10 @@
 
         :param running: attempts that have been sent and have no response.
         :param now: time of the event loop in seconds.
+        :param cancelled_from: time of the event loop since which cancelled ones count.
         """
         cancelled = [
-            each
-            for each in self._cancelled
-            if now - each.cancelled_at <= CANCELLED_COUNTS_S
+            each for each in self._cancelled if each.cancelled_at > cancelled_from
         ]
         suspects = {get_fingerprint(each) for each in self._isolation.iter_running()}
         suspects |= {
