An error in the handling of a crash loses no results; trace explains blocks

Callers of requests that were lost to a crash would have waited for their timeouts if the handling of the crash had raised: the results were given only after it. Found by reading; the new unit test fails on the code before. Change: results are given in any case, the error goes to the loop's handler. The operator's trace knows the reasons blocked and suspect.

--- a/packages/catkintiller-operator/src/catkintiller_operator/request_trace.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/request_trace.py
@@ -22,12 +22,15 @@
     "connection_lost": "the connection to the endpoint closed before a response",
     "node_lost": "the node beside the endpoint became unresponsive or disconnected",
     "stopping": "the node was about to stop",
+    "blocked": "it is blocked, because endpoints crashed each time that it ran",
+    "suspect": "it ran when an endpoint crashed, and too few endpoints are left",
 }
 NO_RETRY_CAUSE = {
     "no_attempts": "the attempts that its route allows were used up",
     "no_time": "its deadline was too close",
     "no_budget": "the retry budget of this node was used up",
     "may_have_run": "it may have run and must not run twice",
+    "blocked": "it is blocked, because endpoints crashed each time that it ran",
 }
 EVENT_COLUMNS = ["time", "node", "what", "details"]
 _KEYS_OUTSIDE_DETAILS = ("t", "node", "msg", "id")
--- a/packages/catkintiller-relay/src/catkintiller_relay/crashes/crash_detector.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/crashes/crash_detector.py
@@ -60,10 +60,13 @@
 
     def _complete_lost(self, has_crashed: bool) -> None:
         lost, self._lost = self._lost, []
-        if has_crashed and self.on_crash is not None:
-            self.on_crash()
-        for exchange in lost:
-            exchange.complete(data.Outcome.UNKNOWN, data.RefusalReason.CONNECTION_LOST)
+        try:
+            if has_crashed and self.on_crash is not None:
+                self.on_crash()
+        finally:
+            reason = data.RefusalReason.CONNECTION_LOST
+            for exchange in lost:
+                exchange.complete(data.Outcome.UNKNOWN, reason)
 
     async def _has_crashed(self) -> bool:
         if not await self._probe.is_refused():
--- a/packages/catkintiller-relay/src/catkintiller_relay/crashes/crash_detector_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/crashes/crash_detector_test.py
@@ -32,13 +32,23 @@
         return self.refused
 
 
-def lose_requests(probe: FakeProbe, count: int = 1) -> list[str]:
-    """Loses requests and returns what happened, in order."""
+def lose_requests(
+    probe: FakeProbe, count: int = 1, error: Exception | None = None
+) -> list[str]:
+    """Loses requests and returns what happened, in order.
+
+    :param error: raised while the crash is handled.
+    """
     events: list[str] = []
 
+    def handle_crash() -> None:
+        events.append("crash")
+        if error is not None:
+            raise error
+
     async def run() -> None:
         detector = crash_detector.CrashDetector(asyncio.get_running_loop(), probe)
-        detector.on_crash = lambda: events.append("crash")
+        detector.on_crash = handle_crash
         for number in range(count):
             exchange = endpoint_client.Exchange(
                 b"%d" % number,
@@ -49,7 +59,7 @@
             )
             detector.handle_lost(exchange)
         async with asyncio.timeout(5.0):
-            while len(events) < count:
+            while events.count(LOST) < count:
                 await asyncio.sleep(0.001)
 
     asyncio.run(run())
@@ -70,6 +80,10 @@
         lose_requests(probe, 40)
         assert probe.probe_count == 1
 
+    def test_error_in_the_handling_loses_no_result(self) -> None:
+        probe = FakeProbe(refused=True)
+        assert lose_requests(probe, 2, ValueError()) == ["crash", LOST, LOST]
+
     def test_connections_that_end_a_moment_later(self) -> None:
         probe = FakeProbe(refused=True, open_checks=3)
         assert lose_requests(probe) == ["crash", LOST]
