Cancelled requests are remembered by their fingerprints, not whole

A node would keep the bodies of the last 64 requests that were cancelled while they ran, up to the largest bodies that it takes, until others follow: enough to pass its memory limit. Change: identity and times are kept. Tests of the runs of suspects play the load of 40 bystanders after a crash: they take turns, other requests run beside them. Result: tests of the package pass.

--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/suspect_runs.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/suspect_runs.py
@@ -39,11 +39,14 @@
 class CancelledRun(NamedTuple):
     """An attempt that was cancelled while it ran.
 
+    :param started_at: time of the event loop when it was sent, in seconds.
     :param cancelled_at: time of the event loop, in seconds.
     :param was_suspect: whether it ran as a suspect.
     """
 
-    execution: "local_endpoint.Execution"
+    request_id: bytes
+    fingerprint: bytes
+    started_at: float
     cancelled_at: float
     was_suspect: bool
 
@@ -147,8 +150,14 @@
 
         :param now: time of the event loop in seconds.
         """
-        was_suspect = self._isolation.has_started(execution)
-        self._cancelled.append(CancelledRun(execution, now, was_suspect))
+        cancelled = CancelledRun(
+            execution.attempt.request_id,
+            get_fingerprint(execution),
+            execution.exchange.started_at,
+            now,
+            self._isolation.has_started(execution),
+        )
+        self._cancelled.append(cancelled)
 
     def build_runs(
         self,
@@ -169,29 +178,21 @@
             each for each in self._cancelled if each.cancelled_at > cancelled_from
         ]
         suspects = {get_fingerprint(each) for each in self._isolation.iter_running()}
-        suspects |= {
-            get_fingerprint(each.execution) for each in cancelled if each.was_suspect
-        }
+        suspects |= {each.fingerprint for each in cancelled if each.was_suspect}
         only_suspect = suspects.pop() if len(suspects) == 1 else None
-        executions = [*running, *(each.execution for each in cancelled)]
-        return tuple(build_run(each, now, only_suspect) for each in executions)
-
-
-def build_run(
-    execution: "local_endpoint.Execution", now: float, only_suspect: bytes | None
-) -> crash.CrashedRun:
-    """Builds the record of an attempt that ran when the endpoint crashed.
-
-    :param now: time of the event loop in seconds.
-    :param only_suspect: fingerprint of the only suspect; None without one.
-    """
-    identity = get_fingerprint(execution)
-    return crash.CrashedRun(
-        execution.attempt.request_id,
-        identity,
-        now - execution.exchange.started_at,
-        identity == only_suspect,
-    )
+        sent = [
+            (each.attempt.request_id, get_fingerprint(each), each.exchange.started_at)
+            for each in running
+        ]
+        sent += [
+            (each.request_id, each.fingerprint, each.started_at) for each in cancelled
+        ]
+        return tuple(
+            crash.CrashedRun(
+                request_id, identity, now - started_at, identity == only_suspect
+            )
+            for request_id, identity, started_at in sent
+        )
 
 
 def get_fingerprint(execution: "local_endpoint.Execution") -> bytes:
