Requests are served on behalf of customers, identified by their keys

Callers: a config with customers or uploads was rejected as a whole, because the adapter knew neither; every node then answered 503. On deployments that were read, keys were passed on to endpoints and names sent by clients were believed.

Cause: nothing in the relay knew who sends a request.

Change: the adapter decodes customers (keys as digests, quota, priority), public routes and uploads, and refuses impossible customers with an error that names them. Root requests need a known key; the node sets the customer's name and removes the key. A nested call belongs to the running request whose ID it extends; a request with the deadline of a running one is no longer taken for a call where customers are configured. Fingerprints tell customers apart. Protocol version 5 adds the customer to submitted attempts.

Tests: lookup, validation, authentication, and five with real nodes (forged names, unknown and withdrawn keys, restarts, an invalid config, logs and metrics without keys). Quotas are not limited yet.

--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/customers/__init__.py
@@ -0,0 +1,1 @@
+"""Customers: who sends a request, and which keys are in force."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/data.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/data.py
@@ -24,6 +24,8 @@
     :param rate_limit: requests per second that the responding endpoint accepts from all
         nodes together.
     :param leaving: ``1`` in the responses of an endpoint that is about to leave.
+    :param credentials: the client's key, after the name of its scheme.
+    :param customer: name of the customer that the request belongs to.
     """
 
     request_id: bytes
@@ -35,6 +37,8 @@
     instance: bytes
     rate_limit: bytes
     leaving: bytes
+    credentials: bytes
+    customer: bytes
 
 
 class Destination(NamedTuple):
@@ -55,6 +59,7 @@
     :param target_latency_s: latency in seconds up to which a response has full value.
     :param max_attempts: maximum number of endpoints that one request may be sent to.
     :param rank: importance of the requests; 0 is the highest.
+    :param public: whether requests need no key although the config has customers.
     """
 
     name: str
@@ -66,6 +71,25 @@
     target_latency_s: float
     max_attempts: int
     rank: int
+    public: bool = False
+
+
+class Customer(NamedTuple):
+    """A customer, whose requests carry one of its keys.
+
+    :param key_digests: digests of its keys, see :func:`.credentials.compute_digest`.
+    :param rank: importance of its requests, in place of that of their routes; 0 is the
+        highest, None keeps that of the routes.
+    :param rate_per_s: root requests per second that may run at all nodes together; 0
+        for no limit.
+    :param burst: root requests that may run at once in addition.
+    """
+
+    name: str
+    key_digests: tuple[bytes, ...]
+    rank: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
 
 
 class ClientLimits(NamedTuple):
@@ -82,6 +106,8 @@
 
     :param version: number of the version; newer versions have higher numbers.
     :param raw: bytes that it was decoded from; sent to other nodes as they are.
+    :param customers: customers whose requests are served; without any, requests need no
+        key.
     """
 
     version: int
@@ -89,6 +115,7 @@
     services: tuple[str, ...]
     limits: ClientLimits
     raw: bytes
+    customers: tuple[Customer, ...] = ()
 
 
 class EndpointState(enum.Enum):
@@ -224,6 +251,7 @@
     STOPPING = "stopping"
     BLOCKED = "blocked"
     SUSPECT = "suspect"
+    PARENT_ENDED = "parent_ended"
 
 
 class Outcome(enum.IntEnum):
--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
@@ -17,6 +17,7 @@
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
@@ -70,6 +71,13 @@
                 return value
         return None
 
+    def get_headers(self, name: bytes) -> list[bytes]:
+        """Returns all values of a header.
+
+        :param name: name in lower case.
+        """
+        return [value for header_name, value in self.headers if header_name == name]
+
 
 Handler = Callable[["ServerConnection", Request], None]
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -308,6 +308,7 @@
                 attempt.head,
                 attempt.body,
                 attempt.suspect_crashes,
+                attempt.customer,
             )
         )
         return connection, number
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
@@ -9,7 +9,7 @@
 
 from .. import data
 
-PROTOCOL_VERSION = 4
+PROTOCOL_VERSION = 5
 LOAD_REQUEST_VERSION = 3  # first protocol version with load requests
 CRASH_REPORT_VERSION = 4  # first protocol version with crash reports
 UTILIZATION_SCALE = 1000
@@ -119,6 +119,8 @@
         full value.
     :param suspect_crashes: number of crashes of endpoints at which the request ran, as
         far as the sender knows; 0 if the sender is of an older version.
+    :param customer: name of the customer that the request belongs to; empty without one
+        or if the sender is of an older version.
     """
 
     number: int
@@ -132,6 +134,7 @@
     head: bytes
     body: bytes
     suspect_crashes: int = 0
+    customer: str = ""
 
 
 class Cancel(msgspec.Struct, tag=4, array_like=True):
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -116,6 +116,7 @@
             message.head,
             message.body,
             message.suspect_crashes,
+            message.customer,
         )
 
         def send_reply(result: local_endpoint.AttemptResult) -> None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
@@ -58,15 +58,16 @@
             for service, rank in self.demand_keys
         ]
 
-    def admit_request(self, route: data.Route, service: str) -> bool:
+    def admit_request(self, route: data.Route, service: str, rank: int) -> bool:
         """Counts a request as demand and decides whether it is admitted.
 
         :param service: service that the request itself is sent to.
+        :param rank: importance of the request; 0 is the highest.
         """
         required = self._get_required_slots(route.name, service)
         for name in required:
             self._get_shedder(name)
-        return load_shedder.admit_request(self._shedders, route.rank, required)
+        return load_shedder.admit_request(self._shedders, rank, required)
 
     def _get_required_slots(self, route: str, service: str) -> dict[str, float]:
         """Returns the slot-seconds that a request needs, by service."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
@@ -38,6 +38,7 @@
     :ivar root_id: part of the request ID that its nested calls share.
     :ivar deadline: time of the event loop by which it must end, in seconds.
     :ivar calls: number of nested calls that it has made, by route and service.
+    :ivar customer: name of the customer that it belongs to; empty without one.
     """
 
     __slots__ = (
@@ -45,6 +46,7 @@
         "_open_call_count",
         "_open_since",
         "calls",
+        "customer",
         "deadline",
         "number",
         "rank",
@@ -53,9 +55,16 @@
     )
 
     def __init__(
-        self, number: int, route: str, rank: int, request_id: bytes, deadline: float
+        self,
+        number: int,
+        route: str,
+        rank: int,
+        request_id: bytes,
+        deadline: float,
+        customer: str,
     ) -> None:
         self.number = number
+        self.customer = customer
         self.route = route
         self.rank = rank
         self.root_id = get_root_id(request_id)
@@ -93,11 +102,18 @@
         self._last_number = 0
 
     def add(
-        self, route: str, rank: int, request_id: bytes, deadline: float
+        self,
+        route: str,
+        rank: int,
+        request_id: bytes,
+        deadline: float,
+        customer: str = "",
     ) -> RunningRequest:
         """Adds a request that starts to run."""
         self._last_number += 1
-        request = RunningRequest(self._last_number, route, rank, request_id, deadline)
+        request = RunningRequest(
+            self._last_number, route, rank, request_id, deadline, customer
+        )
         bisect.insort(self._deadlines, (deadline, request.number))
         self._requests[request.number] = request
         self._requests_by_root.setdefault(request.root_id, {})[request.number] = request
@@ -121,11 +137,9 @@
         :param deadline: time of the event loop at which its sender stops waiting, in
             seconds.
         """
-        root_id = get_root_id(request_id)
-        if root_id != request_id:
-            related = self._requests_by_root.get(root_id)
-            if related:
-                return next(reversed(related.values()))
+        parent = self.find_parent_by_id(request_id)
+        if parent is not None:
+            return parent
         first_index = bisect.bisect_left(
             self._deadlines, (deadline - DEADLINE_TOLERANCE_S, 0)
         )
@@ -140,6 +154,14 @@
                 closest = (difference_s, number)
         return None if closest is None else self._requests[closest[1]]
 
+    def find_parent_by_id(self, request_id: bytes) -> RunningRequest | None:
+        """Finds the running request whose ID a nested call extends."""
+        root_id = get_root_id(request_id)
+        if root_id == request_id:
+            return None
+        related = self._requests_by_root.get(root_id)
+        return next(reversed(related.values())) if related else None
+
 
 def get_root_id(request_id: bytes) -> bytes:
     """Returns the part of a request ID that a request shares with its nested calls."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -17,6 +17,7 @@
 from ..telemetry import events, metrics
 from . import (
     admission,
+    authentication,
     call_graph,
     endpoint_directory,
     endpoint_selection,
@@ -34,6 +35,7 @@
 MIN_BLOCKED_RETRY_AFTER_S = 1.0
 SUSPECT_RETRY_AFTER_S = 1.0
 MAX_PENDING_COUNT = 6000
+UNAUTHORIZED_HEADERS = b"WWW-Authenticate: Token\r\n"
 MAX_PENDING_BODY_BYTES = 64 * 1024 * 1024
 
 
@@ -92,6 +94,9 @@
         self._head_builder = request_head.RequestHeadBuilder(
             header_names, settings.service
         )
+        self._authenticator = authentication.Authenticator(
+            header_names, endpoint.running_requests, graph, loop.time()
+        )
         self._retry_policy = retry_policy.RetryPolicy(settings, graph)
         self._pending_count = 0
         self._pending_body_bytes = 0
@@ -105,6 +110,7 @@
     def set_config(self, config: data.Config) -> None:
         """Applies a config."""
         self._route_table = route_table.RouteTable(config)
+        self._authenticator.set_config(config)
         self._retry_policy.set_config(config)
         self._request_log.config_version = config.version
 
@@ -152,16 +158,15 @@
         route_timeout_at = pending.head_received_at + route.timeout_s
         pending.expires_at = min(deadline - EXPIRY_MARGIN_S, route_timeout_at)
         pending.max_attempts = route.max_attempts
+        identity = self._authenticator.identify(request, route, deadline, now)
+        if identity.decision is authentication.Decision.UNAUTHORIZED:
+            self._send_unauthorized(pending)
+            return
         pending.service = self._route_table.pick_service(route)
-        parent = self._local_endpoint.running_requests.find_parent(
-            pending.request_id, deadline
-        )
-        self._graph.record_arrival(route.name, pending.service, parent)
-        if parent is not None:
-            pending.parent = parent
-            parent.begin_call(now)
-        pending.rank = route.rank if parent is None else parent.rank
-        pending.is_nested_call = parent is not None or self._graph.is_callee(route.name)
+        self._apply_identity(pending, identity, now)
+        if identity.decision is authentication.Decision.PARENT_ENDED:
+            self._send_refusal(pending, data.RefusalReason.PARENT_ENDED)
+            return
         if now >= pending.expires_at:
             self._send_refusal(pending, data.RefusalReason.TIMEOUT)
             return
@@ -178,17 +183,38 @@
             self._send_refusal(pending, data.RefusalReason.BLOCKED)
             return
         if not pending.is_nested_call and not self.admission.admit_request(
-            route, pending.service
+            route, pending.service, pending.rank
         ):
             self._send_refusal(pending, data.RefusalReason.CHAIN_OVERLOADED)
             return
-        pending.head = pending.head or self._head_builder.build(request)
+        pending.head = pending.head or self._build_head(pending)
         pending.expiry_timer = self._loop.call_at(
             pending.expires_at, self._handle_expiry, pending
         )
         self._retry_policy.record_first_attempt(pending.service, now)
         self._send_attempt(pending, now)
 
+    def _apply_identity(
+        self, pending: PendingRequest, identity: authentication.Identity, now: float
+    ) -> None:
+        """Sets what follows from the sender of a request, and counts its arrival."""
+        route, parent = pending.route, identity.parent
+        pending.customer = identity.customer
+        pending.is_nested_call = identity.is_nested_call
+        pending.rank = route.rank
+        if identity.customer is not None and identity.customer.rank is not None:
+            pending.rank = identity.customer.rank
+        self._graph.record_arrival(route.name, pending.service, parent)
+        if parent is not None:
+            pending.parent = parent
+            pending.rank = parent.rank
+            parent.begin_call(now)
+
+    def _build_head(self, pending: PendingRequest) -> bytes:
+        is_enabled = self._authenticator.is_enabled
+        customer = pending.customer_name if is_enabled else None
+        return self._head_builder.build(pending.request, customer)
+
     def _send_attempt(self, pending: PendingRequest, now: float) -> None:
         candidate = self._select_endpoint(pending, now)
         if candidate is None:
@@ -207,6 +233,7 @@
             pending.head,
             pending.request.body,
             self._history.get_crash_count(pending.fingerprint),
+            pending.customer_name,
         )
 
         node = candidate.node
@@ -382,6 +409,12 @@
         self._record_own_response(pending, 502, reason)
         pending.connection.send_status(502)
 
+    def _send_unauthorized(self, pending: PendingRequest) -> None:
+        """Sends a 401 response: the key is missing or not known."""
+        self._release(pending)
+        self._metrics.count("unauthorized", f'route="{pending.route.name}"')
+        pending.connection.send_status(401, UNAUTHORIZED_HEADERS)
+
     def _send_refusal(
         self, pending: PendingRequest, reason: data.RefusalReason
     ) -> None:
@@ -458,8 +491,11 @@
         """Returns the fingerprint of a request; it is computed at the first call."""
         if not pending.fingerprint:
             if not pending.head:
-                pending.head = self._head_builder.build(pending.request)
+                pending.head = self._build_head(pending)
             pending.fingerprint = fingerprint.compute_fingerprint(
-                pending.service, pending.head, pending.request.body
+                pending.service,
+                pending.head,
+                pending.request.body,
+                pending.customer_name,
             )
         return pending.fingerprint
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/pending_request.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/pending_request.py
@@ -26,6 +26,7 @@
     :ivar last_reason: why the last attempt got no response; NO_ENDPOINT before the
         first attempt.
     :ivar rank: importance; 0 is the highest.
+    :ivar customer: customer that it is charged to, if any.
     :ivar tried_nodes: addresses of the nodes that attempts were sent to.
     :ivar fingerprint: fingerprint of the request; empty until it is needed.
     :ivar outstanding: attempts without a result by node: None with a local execution,
@@ -37,6 +38,7 @@
         "max_attempts",
         "is_nested_call",
         "connection",
+        "customer",
         "expires_at",
         "fingerprint",
         "on_client_disconnect",
@@ -82,12 +84,18 @@
         self.parent: call_graph.RunningRequest | None = None
         self.is_nested_call = False
         self.rank = 0
+        self.customer: data.Customer | None = None
         self.tried_nodes: set[str] = set()
         self.reached_nodes: set[str] = set()
         self.rejecting_nodes: set[str] = set()
         self.outstanding: dict[str, tuple[Any, Any]] = {}
         self.expiry_timer: asyncio.TimerHandle | None = None
 
+    @property
+    def customer_name(self) -> str:
+        """Name of its customer; empty without one."""
+        return "" if self.customer is None else self.customer.name
+
     @property
     def has_reached_all_endpoints(self) -> bool:
         """Whether it has been sent to as many endpoints as its route allows."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/request_head.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/request_head.py
@@ -33,22 +33,36 @@
         self._replaced_names = frozenset(
             (header_names.caller, header_names.deadline, header_names.target)
         )
+        self._names_with_customers = self._replaced_names | {
+            header_names.credentials,
+            header_names.customer,
+        }
         self._caller = b"%b: %b\r\n" % (header_names.caller, service.encode())
+        self._customer_name = header_names.customer
 
-    def build(self, request: http1.Request) -> bytes:
-        """Builds a head without the lines that the node beside the endpoint adds."""
+    def build(self, request: http1.Request, customer: str | None = None) -> bytes:
+        """Builds a head without the lines that the node beside the endpoint adds.
+
+        :param customer: name of the customer that the endpoint is told, empty for none;
+            None if the config has no customers. Otherwise the key is left out.
+        """
+        replaced_names = (
+            self._replaced_names if customer is None else self._names_with_customers
+        )
         connection_header = request.get_header(b"connection")
         connection_tokens = parse_tokens(connection_header) if connection_header else ()
         lines = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
         for name, value in request.headers:
             if (
                 name in _HOP_BY_HOP
-                or name in self._replaced_names
+                or name in replaced_names
                 or name in connection_tokens
             ):
                 continue
             lines.append(b"%b: %b\r\n" % (name, value))
         lines.append(self._caller)
+        if customer:
+            lines.append(b"%b: %b\r\n" % (self._customer_name, customer.encode()))
         if request.body or request.method not in METHODS_WITHOUT_BODY:
             lines.append(b"content-length: %d\r\n" % len(request.body))
         return b"".join(lines)
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/request_log.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/request_log.py
@@ -127,7 +127,10 @@
             call=pending.is_nested_call,
             request=fingerprint.format_fingerprint(
                 fingerprint.compute_fingerprint(
-                    pending.service, pending.head, pending.request.body
+                    pending.service,
+                    pending.head,
+                    pending.request.body,
+                    pending.customer_name,
                 )
             ),
         )
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_policy.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_policy.py
@@ -34,8 +34,10 @@
         self._highest_rank = 0
 
     def set_config(self, config: data.Config) -> None:
-        """Sets the highest rank, the lowest number, among the routes of a config."""
-        self._highest_rank = min((route.rank for route in config.routes), default=0)
+        """Sets the highest rank, the lowest number, that a config gives requests."""
+        ranks = [route.rank for route in config.routes]
+        ranks += [each.rank for each in config.customers if each.rank is not None]
+        self._highest_rank = min(ranks, default=0)
 
     def record_first_attempt(self, service: str, now: float) -> None:
         """Counts the first attempt of a request."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client_test.py
@@ -17,6 +17,8 @@
     b"x-who",
     b"x-rate",
     b"x-leaving",
+    b"authorization",
+    b"tenant",
 )
 TIMEOUT_S = 5.0
 OK_RESPONSE = b"HTTP/1.1 200 OK\r\nX-Id: %b\r\nX-Sign: s\r\nContent-Length: 2\r\n\r\nhi"
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
@@ -53,6 +53,7 @@
     :param body: complete body.
     :param suspect_crashes: number of crashes of endpoints at which the request ran, as
         far as the sender knows; see :mod:`..crashes.crash_history`.
+    :param customer: name of the customer that it belongs to; empty without one.
     """
 
     request_id: bytes
@@ -65,6 +66,7 @@
     head: bytes
     body: bytes
     suspect_crashes: int = 0
+    customer: str = ""
 
 
 class AttemptResult(NamedTuple):
@@ -318,7 +320,11 @@
             self._refuse(execution, data.RefusalReason.QUEUE_TIMEOUT)
             return
         execution.running_request = self.running_requests.add(
-            attempt.route, attempt.rank, attempt.request_id, execution.deadline
+            attempt.route,
+            attempt.rank,
+            attempt.request_id,
+            execution.deadline,
+            attempt.customer,
         )
         header_names = self._pool.header_names
         message = b"%b%b: %d\r\n%b: %b\r\n\r\n%b" % (
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/suspect_runs.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/suspect_runs.py
@@ -200,6 +200,6 @@
     if not execution.fingerprint:
         attempt = execution.attempt
         execution.fingerprint = fingerprint.compute_fingerprint(
-            attempt.service, attempt.head, attempt.body
+            attempt.service, attempt.head, attempt.body, attempt.customer
         )
     return execution.fingerprint
