The sum of the peers' demand is kept instead of recomputed

Ten times a second the admission control added up the demand in the last report of each peer, by service and rank. A peer reports about once a second, so nine of ten additions had been made before. The sum is now kept, in whole thousandths of a slot, so that it stays exact; only reports that changed are subtracted and added. Peer.demand is replaced by slot_demand, in the units of the report, built without a loop in Python. The test of the order of demand compares all services now, not one.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -182,7 +182,8 @@
     :ivar service_time_s: average service time of its endpoint, in seconds.
     :ivar own_times_s: own times at its endpoint by route, in seconds.
     :ivar utilization: arriving work over the work that its endpoint can do.
-    :ivar demand: slots demanded at the peer, by service and rank.
+    :ivar slot_demand: slots demanded at the peer, in thousandths, by service and rank;
+        replaced by each report, never changed.
     :ivar reported_at: time of the event loop of its last load report, in seconds.
     :ivar report_interval_s: time until its next load report, as it announced.
     :ivar sent_since_report: attempts sent to it since it last reported its load.
@@ -209,7 +210,7 @@
         self.service_time_s = 0.0
         self.own_times_s: dict[str, float] = {}
         self.utilization = 0.0
-        self.demand: dict[str, dict[int, float]] = {}
+        self.slot_demand: dict[tuple[str, int], int] = {}
         self.reported_at = float("-inf")
         self.report_interval_s = DEFAULT_REPORT_INTERVAL_S
         self.sent_since_report = 0
@@ -371,13 +372,8 @@
         if report.interval_ms:
             self.report_interval_s = report.interval_ms / 1000
         self.utilization = report.utilization / frames.UTILIZATION_SCALE
-        demand: dict[str, dict[int, float]] = {}
         demand_keys = self.state.demand_keys if self.state is not None else []
-        for (service, rank), slots in zip(
-            demand_keys, report.slot_demand, strict=False
-        ):
-            demand.setdefault(service, {})[rank] = slots / frames.DEMAND_SCALE
-        self.demand = demand
+        self.slot_demand = dict(zip(demand_keys, report.slot_demand, strict=False))
 
     def handle_invalid_message(self, why: str) -> None:
         """Reports a message that cannot be decoded; the connection is aborted."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
@@ -75,7 +75,9 @@
         )
         assert peer.load == 9
         assert peer.utilization == 1.25
-        assert peer.demand["service-2"] == {0: 6.0, 1: 7.0, 2: 8.0}
+        assert peer.slot_demand == {
+            key: 1_000 * slots for slots, key in enumerate(DEMAND_KEYS)
+        }
         assert observer.state_count == 1
 
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
@@ -1,9 +1,9 @@
 """Directory of the endpoints that this node can send requests to."""
 
 from .. import data
-from ..membership import connections, peer_set
+from ..membership import connections, frames, peer_set
 from ..serving import local_endpoint
-from . import endpoint_selection, failure_tracker, load_shedder
+from . import endpoint_selection, failure_tracker, load_shedder, peer_demand
 
 LOCAL_NODE = ""
 SAME_ZONE_ROUND_TRIP_S = 0.0005
@@ -31,6 +31,7 @@
         self._local_endpoint = endpoint
         self._peers = peers
         self._failure_trackers: dict[str, failure_tracker.FailureTracker] = {}
+        self._demand_totals = peer_demand.DemandTotals()
 
     def get_peer(self, address: str) -> connections.Peer | None:
         """Returns the peer at an address; None if there is none."""
@@ -205,20 +206,19 @@
 
         :param now: time of the event loop, in seconds.
         """
-        totals: dict[str, dict[int, float]] = {}
-        sample_count = 0
-        for peer in self._peers.peers.values():
-            if not peer.reports_slots or now - peer.reported_at > MAX_REPORT_AGE_S:
-                continue
-            sample_count += 1
-            for service, demand in peer.demand.items():
-                total = totals.setdefault(service, {})
-                for rank, rate in demand.items():
-                    total[rank] = total.get(rank, 0.0) + rate
-        if not sample_count:
+        totals = self._demand_totals
+        totals.update(
+            {
+                address: peer.slot_demand
+                for address, peer in self._peers.peers.items()
+                if now - peer.reported_at <= MAX_REPORT_AGE_S and peer.reports_slots
+            }
+        )
+        if not totals.report_count:
             return {}
-        ratio = max(1.0, self._peers.estimate_live_count() / sample_count)
-        return {
-            service: {rank: rate * ratio for rank, rate in total.items()}
-            for service, total in totals.items()
-        }
+        ratio = max(1.0, self._peers.estimate_live_count() / totals.report_count)
+        demand: dict[str, dict[int, float]] = {}
+        for (service, rank), slots in totals.totals.items():
+            sampled_slots = slots / frames.DEMAND_SCALE
+            demand.setdefault(service, {})[rank] = sampled_slots * ratio
+        return demand
