Peer set: the ratio of members to peers is cached per service

get_sampled_ratio iterated over the members of a service, and get_loads called it for each peer; estimate_live_count iterated over all peers for each service. The ratio changes only when a member or a peer joins or leaves, so it is kept until then; live peers are counted in one pass. Tests: the ratio and the count follow joins, moves to another service, removals and lost connections.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set.py
@@ -49,6 +49,7 @@
         self._weights: dict[str, int] = {}
         self._outdated_services: set[str] = set()
         self._unreachable: set[str] = set()
+        self._sampled_ratios: dict[str, float] = {}
         self.peers: dict[str, connections.Peer] = {}
 
     @property
@@ -75,20 +76,25 @@
         Multiplied with a sum over the peers of a service, it estimates the sum over all
         its members.
         """
-        members = self._members.get(service, {})
-        peer_count = sum(address in self.peers for address in members)
-        return max(1.0, len(members) / peer_count) if peer_count else 1.0
+        ratio = self._sampled_ratios.get(service)
+        if ratio is None:
+            members = self._members.get(service, {})
+            peer_count = sum(address in self.peers for address in members)
+            ratio = max(1.0, len(members) / peer_count) if peer_count else 1.0
+            self._sampled_ratios[service] = ratio
+        return ratio
 
     def estimate_live_count(self) -> float:
         """Estimates how many members are reachable, from those in the subsets."""
-        live_count = 0.0
-        for service, members in self._members.items():
-            connected_count = sum(
-                address in members and peer.connected
-                for address, peer in self.peers.items()
-            )
-            live_count += connected_count * self.get_sampled_ratio(service)
-        return live_count
+        connected_counts: dict[str, int] = {}
+        for address, peer in self.peers.items():
+            service = self._services.get(address)
+            if service is not None and peer.connected:
+                connected_counts[service] = connected_counts.get(service, 0) + 1
+        return sum(
+            count * self.get_sampled_ratio(service)
+            for service, count in connected_counts.items()
+        )
 
     def add_member(self, member: subsetting.Member) -> None:
         """Adds a member or updates its service; connects to it if it is selected.
@@ -104,6 +110,7 @@
         if known_service is not None:
             del self._members[known_service][address]
             self._outdated_services.add(known_service)
+        self._sampled_ratios.clear()
         self._services[address] = member.service
         self._members.setdefault(member.service, {})[address] = member
         self._outdated_services.add(member.service)
@@ -208,6 +215,7 @@
 
     def _remove(self, address: str, service: str) -> None:
         self.peers.pop(address).close()
+        self._sampled_ratios.clear()
         self._unreachable.discard(address)
         self._members.get(service, {}).pop(address, None)
         self._services.pop(address, None)
@@ -241,6 +249,7 @@
                     self._rng,
                 )
                 self.peers[address] = peer
+                self._sampled_ratios.clear()
                 peer.tick(now)
 
     def _leave(self, address: str, service: str) -> None:
@@ -248,6 +257,7 @@
             self._outdated_services.add(service)
             return
         self.peers.pop(address).close()
+        self._sampled_ratios.clear()
         self._unreachable.discard(address)
         self._observer.handle_peer_removed(address)
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set_test.py
@@ -80,6 +80,61 @@
 
         run(check)
 
+    def test_sampled_ratio_follows_members_and_peers(self) -> None:
+        async def check() -> None:
+            peers = build_peer_set(RecordingObserver())
+            now = asyncio.get_running_loop().time()
+            assert peers.get_sampled_ratio("pay") == 1.0
+            for number in range(48):
+                peers.add_member(build_unreachable_member(number))
+            assert peers.get_sampled_ratio("pay") == 1.0
+            peers.tick(now)
+            assert peers.get_sampled_ratio("pay") == 2.0
+            for number in range(48, 72):
+                peers.add_member(build_unreachable_member(number))
+            assert peers.get_sampled_ratio("pay") == 3.0
+            outside = [
+                member
+                for member in peers.get_members()
+                if member.address not in peers.peers
+            ]
+            for member in outside[:24]:
+                peers.add_member(member._replace(service="stock"))
+            assert peers.get_sampled_ratio("pay") == 2.0
+            assert peers.get_sampled_ratio("stock") == 1.0
+            for peer in list(peers.peers.values()):
+                peer.unreachable_since = now
+            peers.tick(now + 2 * peer_set.REMOVE_AFTER_S)
+            # All peers of this service were removed; the others took their places.
+            assert peers.get_sampled_ratio("pay") == 1.0
+            assert peers.member_count == 48
+            peers.close()
+
+        run(check)
+
+    def test_live_count_follows_connections(self) -> None:
+        async def check() -> None:
+            loop = asyncio.get_running_loop()
+            server = SilentServer()
+            await server.start()
+            peers = build_peer_set(RecordingObserver())
+            address = f"127.0.0.1:{server.port}"
+            peers.add_member(subsetting.Member(address, "zone-1", "pay"))
+            peers.add_member(build_unreachable_member(1))
+            peers.add_member(build_unreachable_member(2, "stock"))
+            assert peers.estimate_live_count() == 0
+            peers.tick(loop.time())
+            await wait_until(lambda: peers.peers[address].connected)
+            assert peers.estimate_live_count() == 1
+            peers.add_member(subsetting.Member(address, "zone-1", "stock"))
+            assert peers.estimate_live_count() == 1
+            server.writer.close()
+            await wait_until(lambda: not peers.peers[address].connected)
+            assert peers.estimate_live_count() == 0
+            peers.close()
+
+        run(check)
+
     def test_node_is_no_member_of_its_own(self) -> None:
         async def check() -> None:
             peers = build_peer_set(RecordingObserver())
