The peers' occupancies and whether they take requests are kept between states

What a peer's node state says about its endpoint was compared with the endpoint that left at each look at the peer, and the rates of all routes of all peers were summed ten times a second, though states change rarely. Both are now computed when a state changes. Peers with a newer config are found by their version first. Tests: the values follow replaced states, peers that join and leave, and lost connections.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/config_sync.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/config_sync.py
@@ -98,11 +98,7 @@
         :param now: time of the event loop, in seconds.
         :param version: version of the config in force; 0 without one.
         """
-        peers = [
-            peer
-            for peer in self._peers.get_responsive_peers(now)
-            if peer.state.config_version > version
-        ]
+        peers = self._peers.get_peers_with_newer_config(now, version)
         if not peers:
             self._newer_seen_at = None
             return
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -216,6 +216,7 @@
         self.sent_since_report = 0
         self.unreachable_since: float | None = None
         self._left_endpoint: tuple[str, int] | None = None
+        self._has_endpoint = False
         self._observer = observer
         self._rng = rng
         self._connection: OutgoingConnection | None = None
@@ -255,17 +256,25 @@
     @property
     def reports_slots(self) -> bool:
         """Whether the peer is connected and reports its demand in slots."""
-        return self.connected and self.handles_load_requests
+        return self.handles_load_requests and self.connected
 
     @property
     def accepting(self) -> bool:
         """Whether the peer's endpoint accepts new requests."""
-        return self._is_endpoint_reachable() and self.state.accepting
+        return self._has_endpoint and self.state.accepting and self.connected
 
     @property
     def lame_duck(self) -> bool:
         """Whether the peer still accepts new requests but is about to stop."""
-        return self._is_endpoint_reachable() and self.state.lame_duck
+        return self._has_endpoint and self.state.lame_duck and self.connected
+
+    @property
+    def takes_requests(self) -> bool:
+        """Whether the peer's endpoint accepts new requests, also as a lame duck."""
+        if not self._has_endpoint:
+            return False
+        state = self.state
+        return (state.accepting or state.lame_duck) and self.connected
 
     @property
     def usable_slots(self) -> float:
@@ -341,8 +350,11 @@
             self._handle_load_report(message)
         elif isinstance(message, frames.NodeState):
             self.state = message
+            endpoint = (message.instance, message.start_ms)
             if message.leaving:
-                self._left_endpoint = (message.instance, message.start_ms)
+                self._left_endpoint = endpoint
+            # A peer that has restarted may not know that its endpoint will leave.
+            self._has_endpoint = endpoint != self._left_endpoint
             self.zone = message.zone
             self.own_times_s = {
                 route: own_us / 1e6 for route, own_us, _ in message.route_times
@@ -356,16 +368,6 @@
         elif isinstance(message, frames.ClearedRequests):
             self._observer.handle_cleared_requests(message)
 
-    def _is_endpoint_reachable(self) -> bool:
-        """Returns whether the peer is connected and its endpoint has not left.
-
-        A peer that has restarted may not know that its endpoint is about to leave.
-        """
-        state = self.state
-        if state is None or not self.connected:
-            return False
-        return (state.instance, state.start_ms) != self._left_endpoint
-
     def _handle_load_report(self, report: frames.LoadReport) -> None:
         self.update_load(report.load, report.service_time_us)
         self.reported_at = self.loop.time()
--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections_test.py
@@ -0,0 +1,71 @@
+"""Tests of what a node knows about the endpoint beside a peer."""
+
+import asyncio
+import random
+
+import msgspec
+
+from . import connections, frames, peer_set_test
+from .frames_test import CountingObserver, build_node_state
+
+
+class TestEndpoint:
+    """What follows from a node state must not outlast the state or the connection."""
+
+    def test_it_follows_the_states(self) -> None:
+        async def check() -> None:
+            peer, _ = await connect_peer()
+            assert not peer.takes_requests
+            state = build_node_state()
+            peer.handle_message(state)
+            assert peer.accepting and peer.takes_requests and not peer.lame_duck
+            duck = msgspec.structs.replace(state, accepting=False, lame_duck=True)
+            peer.handle_message(duck)
+            assert peer.lame_duck and peer.takes_requests and not peer.accepting
+            peer.handle_message(msgspec.structs.replace(state, accepting=False))
+            assert not peer.takes_requests
+            peer.close()
+
+        peer_set_test.run(check)
+
+    def test_endpoint_that_left_is_not_used_again(self) -> None:
+        async def check() -> None:
+            peer, _ = await connect_peer()
+            state = build_node_state()
+            peer.handle_message(msgspec.structs.replace(state, leaving=True))
+            assert not peer.takes_requests
+            # The node has restarted and does not know that its endpoint leaves.
+            peer.handle_message(state)
+            assert not peer.accepting and not peer.takes_requests
+            peer.handle_message(msgspec.structs.replace(state, start_ms=5))
+            assert peer.accepting and peer.takes_requests
+            peer.close()
+
+        peer_set_test.run(check)
+
+    def test_lost_connection(self) -> None:
+        async def check() -> None:
+            peer, server = await connect_peer()
+            peer.handle_message(build_node_state())
+            assert peer.takes_requests
+            server.writer.close()
+            await peer_set_test.wait_until(lambda: not peer.connected)
+            assert not peer.accepting and not peer.takes_requests
+            peer.close()
+
+        peer_set_test.run(check)
+
+
+async def connect_peer() -> tuple[connections.Peer, peer_set_test.SilentServer]:
+    """Connects to a node that has not sent its state yet."""
+    loop = asyncio.get_running_loop()
+    server = peer_set_test.SilentServer()
+    await server.start()
+    hello = frames.Hello(frames.PROTOCOL_VERSION, "127.0.0.1:9", "z", "boot")
+    address = f"127.0.0.1:{server.port}"
+    peer = connections.Peer(
+        loop, address, "z", hello, CountingObserver(), random.Random(1)
+    )
+    peer.tick(loop.time())
+    await peer_set_test.wait_until(lambda: server.writer and peer.connected)
+    return peer, server
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set.py
@@ -146,6 +146,22 @@
             if peer.state is not None and peer.connected and not peer.is_suspect(now)
         ]
 
+    def get_peers_with_newer_config(
+        self, now: float, version: int
+    ) -> list[connections.Peer]:
+        """Returns the responsive peers whose config is newer than ``version``.
+
+        :param now: time of the event loop, in seconds.
+        """
+        return [
+            peer
+            for peer in self.peers.values()
+            if peer.state is not None
+            and peer.state.config_version > version
+            and peer.connected
+            and not peer.is_suspect(now)
+        ]
+
     async def introduce(self, connected_addresses: set[str]) -> int:
         """Introduces this node to the members that should connect to it.
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
@@ -3,13 +3,20 @@
 from .. import data
 from ..membership import connections, frames, peer_set
 from ..serving import local_endpoint
-from . import endpoint_selection, failure_tracker, load_shedder, peer_demand
+from . import (
+    endpoint_selection,
+    failure_tracker,
+    load_shedder,
+    peer_demand,
+    peer_occupancies,
+)
 
 LOCAL_NODE = ""
 SAME_ZONE_ROUND_TRIP_S = 0.0005
 OTHER_ZONE_ROUND_TRIP_S = 0.004
 MAX_COUNTED_UTILIZATION = 1.5  # one endpoint with a queue is no overload of all
 MIN_COUNTED_SLOTS = 0.01
+MIN_OCCUPANCY_S = 1e-6
 MAX_REPORT_AGE_S = 1.2  # demand reported earlier may precede a burst
 
 
@@ -32,6 +39,7 @@
         self._peers = peers
         self._failure_trackers: dict[str, failure_tracker.FailureTracker] = {}
         self._demand_totals = peer_demand.DemandTotals()
+        self._peer_occupancies = peer_occupancies.PeerOccupancies()
 
     def get_peer(self, address: str) -> connections.Peer | None:
         """Returns the peer at an address; None if there is none."""
@@ -150,17 +158,14 @@
         """
         totals: dict[str, tuple[float, float]] = {}
         for peer in self._peers.peers.values():
-            state = peer.state
-            if state is None or not (peer.accepting or peer.lame_duck):
+            if not peer.takes_requests:
                 continue
-            ratio = self._peers.get_sampled_ratio(state.service)
+            service = peer.state.service
+            ratio = self._peers.get_sampled_ratio(service)
             slots = max(MIN_COUNTED_SLOTS, peer.usable_slots) * ratio
-            total_slots, total_work = totals.get(state.service, (0.0, 0.0))
+            total_slots, total_work = totals.get(service, (0.0, 0.0))
             utilization = min(MAX_COUNTED_UTILIZATION, peer.utilization)
-            totals[state.service] = (
-                total_slots + slots,
-                total_work + utilization * slots,
-            )
+            totals[service] = (total_slots + slots, total_work + utilization * slots)
         if self._local_endpoint.accepting or self._local_endpoint.lame_duck:
             queue = self._local_endpoint.queue
             service = self._settings.service
@@ -183,20 +188,17 @@
 
         :param now: time of the event loop, in seconds.
         """
-        rates: dict[tuple[str, str], list[float]] = {}
-        for peer in self._peers.peers.values():
-            state = peer.state
-            if state is None or not (peer.accepting or peer.lame_duck):
-                continue
-            for route, _, occupancy_us in state.route_times:
-                key = (state.service, route)
-                rates.setdefault(key, []).append(1e6 / max(1, occupancy_us))
+        states = [
+            peer.state for peer in self._peers.peers.values() if peer.takes_requests
+        ]
+        rates = dict(self._peer_occupancies.get_rates(states))
         if self._local_endpoint.accepting:
             times = self._local_endpoint.service_times.iter_times(now)
             for route, _, occupancy_s in times:
                 key = (self._settings.service, route)
-                rates.setdefault(key, []).append(1.0 / max(1e-6, occupancy_s))
-        return {key: len(each) / sum(each) for key, each in rates.items()}
+                rate = rates.get(key, peer_occupancies.NO_RATE)
+                rates[key] = rate.add(1.0 / max(MIN_OCCUPANCY_S, occupancy_s))
+        return {key: rate.occupancy_s for key, rate in rates.items()}
 
     def estimate_peer_demand(self, now: float) -> dict[str, load_shedder.Demand]:
         """Estimates the demand at all other nodes, by service.
