Quotas hold over all nodes through leases and tokens of a coordinator

Cause: the rate and the burst of a customer were read from the config and not enforced. Change: one member grants tokens from a bucket for each customer with traffic. The other members lease their parts of every quota to it, measured by its own clock, so that two coordinators, pauses and partitions do not add up to more than the quota. Root requests of customers with a quota wait for a token before they are admitted; those without one get 429 or 503 with Retry-After.

--- a/packages/catkintiller-relay/src/catkintiller_relay/data.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/data.py
@@ -252,6 +252,8 @@
     BLOCKED = "blocked"
     SUSPECT = "suspect"
     PARENT_ENDED = "parent_ended"
+    QUOTA_EXCEEDED = "quota_exceeded"
+    QUOTA_UNKNOWN = "quota_unknown"
 
 
 class Outcome(enum.IntEnum):
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/config_role.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/config_role.py
@@ -7,6 +7,7 @@
 store that refuses some nodes is read by others.
 """
 
+import functools
 import hashlib
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -55,6 +56,7 @@
     return len(preceding) < SUFFICIENT_READER_COUNT
 
 
+@functools.lru_cache(maxsize=1024)
 def get_position(address: str) -> bytes:
     """Returns the position of a node in a random order on which all nodes agree."""
     return hashlib.blake2b(address.encode(), digest_size=8).digest()
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/config_sync.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/config_sync.py
@@ -14,6 +14,7 @@
 # Share of the peers that a node that starts has heard, and time that it waits for them.
 HEARD_PEERS_RATIO = 0.5
 MAX_START_WAIT_S = 1.0
+ROLE_CHECK_INTERVAL_S = 1.0
 
 
 class ConfigSync:
@@ -42,6 +43,7 @@
         self._requested_at = float("-inf")
         self._started_at: float | None = None
         self._synchronized = False
+        self._next_role_check_at: float | None = None
 
     @property
     def synchronized(self) -> bool:
@@ -71,6 +73,20 @@
         """Allows the next request at once, since the last one has succeeded."""
         self._requested_at = float("-inf")
 
+    def check_role(self, now: float) -> None:
+        """Updates the role now and then; the times are random, so nodes take turns.
+
+        :param now: time of the event loop, in seconds.
+        """
+        is_due = self._next_role_check_at is not None and (
+            now >= self._next_role_check_at
+        )
+        if is_due:
+            self.update_role(now)
+        if is_due or self._next_role_check_at is None:
+            delay_s = ROLE_CHECK_INTERVAL_S * self._rng.uniform(0.5, 1.5)
+            self._next_role_check_at = now + delay_s
+
     def update_role(self, now: float) -> None:
         """Starts or stops reading configs from the store, see :mod:`.config_role`.
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -188,6 +188,7 @@
     :ivar sent_since_report: attempts sent to it since it last reported its load.
     :ivar unreachable_since: time of the event loop since which it cannot be reached,
         in seconds; None while it is connected.
+    :ivar announced_stop: whether its process has said that it is about to stop.
     """
 
     def __init__(
@@ -214,6 +215,7 @@
         self.report_interval_s = DEFAULT_REPORT_INTERVAL_S
         self.sent_since_report = 0
         self.unreachable_since: float | None = None
+        self.announced_stop = False
         self._left_endpoint: tuple[str, int] | None = None
         self._observer = observer
         self._rng = rng
@@ -243,6 +245,12 @@
         state = self.state
         return state is not None and state.protocol >= frames.LOAD_REQUEST_VERSION
 
+    @property
+    def handles_quotas(self) -> bool:
+        """Whether the peer's version of the protocol has quota requests."""
+        state = self.state
+        return state is not None and state.protocol >= frames.QUOTA_VERSION
+
     @property
     def config_reading(self) -> data.ConfigReading:
         """How the peer gets its configs; from peers if it says something else."""
@@ -334,12 +342,18 @@
         if self.connected:
             self._connection.send(frames.ConfigRequest(version))
 
+    def request_quota(self, request: frames.QuotaRequest) -> None:
+        """Requests tokens if the peer is connected and knows such requests."""
+        if self.connected and self.handles_quotas:
+            self._connection.send(request)
+
     def handle_message(self, message: frames.Message) -> None:
         """Handles a message other than a reply to a request."""
         if isinstance(message, frames.LoadReport):
             self._handle_load_report(message)
         elif isinstance(message, frames.NodeState):
             self.state = message
+            self.announced_stop = message.stopping
             if message.leaving:
                 self._left_endpoint = (message.instance, message.start_ms)
             self.zone = message.zone
@@ -354,6 +368,8 @@
             self._observer.handle_crash_report(message)
         elif isinstance(message, frames.ClearedRequests):
             self._observer.handle_cleared_requests(message)
+        elif isinstance(message, frames.QuotaReply):
+            self._observer.handle_quota_reply(self, message)
 
     def _is_endpoint_reachable(self) -> bool:
         """Returns whether the peer is connected and its endpoint has not left.
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
@@ -12,6 +12,7 @@
 PROTOCOL_VERSION = 5
 LOAD_REQUEST_VERSION = 3  # first protocol version with load requests
 CRASH_REPORT_VERSION = 4  # first protocol version with crash reports
+QUOTA_VERSION = 5  # first protocol version with quota requests
 UTILIZATION_SCALE = 1000
 DEMAND_SCALE = 1000
 MAX_FRAME_BYTES = 80 * 1024 * 1024
@@ -86,6 +87,7 @@
     :param leaving: whether the endpoint drains or is gone.
     :param restore_count: how often the platform's store has been restored, as far as
         the sender knows; 0 if it does not.
+    :param stopping: whether the sender's process is about to stop.
     """
 
     instance: str
@@ -106,6 +108,7 @@
     start_ms: int = 0
     leaving: bool = False
     restore_count: int = 0
+    stopping: bool = False
 
 
 class Submit(msgspec.Struct, tag=3, array_like=True):
@@ -214,6 +217,46 @@
     fingerprints: list[bytes]
 
 
+class QuotaRequest(msgspec.Struct, tag=12, array_like=True):
+    """Asks the coordinator for tokens and extends the sender's lease to it.
+
+    Nodes before :data:`QUOTA_VERSION` do not know this message.
+
+    :param member_count: number of members that the sender knows, itself included; 0 if
+        it has not read the list of members, which grants no lease.
+    :param echo_ms: ``clock_ms`` of the last reply; 0 to grant no lease.
+    :param entries: name of a customer, number of tokens wanted (negative for unused
+        tokens that are returned), and requests that arrived since the last message.
+    :param demand: service, rank, customer and its slots in thousandths, see
+        :mod:`..quotas.demand_totals`.
+    :param number: number of the request; the reply repeats it.
+    """
+
+    member_count: int
+    echo_ms: int
+    entries: list[tuple[str, int, int]]
+    demand: list[tuple[str, int, str, int]] = []
+    number: int = 0
+
+
+class QuotaReply(msgspec.Struct, tag=13, array_like=True):
+    """Grants tokens, which expire a fixed time after they were requested.
+
+    :param clock_ms: time of the coordinator's clock, in milliseconds.
+    :param follower_count: number of nodes whose leases the coordinator has.
+    :param entries: name of a customer, number of tokens granted, and milliseconds until
+        a further token is available: 0 if all were granted, negative if not known.
+    :param demand: sums of the demand that nodes reported.
+    :param number: number of the request.
+    """
+
+    clock_ms: int
+    follower_count: int
+    entries: list[tuple[str, int, int]]
+    demand: list[tuple[str, int, str, int]] = []
+    number: int = 0
+
+
 Message = (
     Hello
     | NodeState
@@ -226,6 +269,8 @@
     | LoadRequest
     | CrashReport
     | ClearedRequests
+    | QuotaRequest
+    | QuotaReply
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
@@ -105,12 +105,13 @@
         assert report.interval_ms == 0
 
     def test_state_without_the_newer_fields(self) -> None:
-        newer_field_count = 4
+        newer_field_count = 5
         fields = msgspec.to_builtins(build_node_state())
         encoded = msgspec.msgpack.encode(fields[:-newer_field_count])
         state = msgspec.msgpack.decode(encoded, type=frames.NodeState)
         assert state.rate_limit is None and not state.leaving
         assert state.start_ms == state.restore_count == 0
+        assert not state.stopping
 
 
 class CountingObserver(peer_observer.PeerObserver):
@@ -154,5 +155,16 @@
         """Returns nothing."""
         return None
 
+    def handle_quota_request(
+        self, sender: str, request: frames.QuotaRequest
+    ) -> frames.QuotaReply | None:
+        """Returns nothing."""
+        return None
+
+    def handle_quota_reply(
+        self, peer: connections.Peer, reply: frames.QuotaReply
+    ) -> None:
+        """Does nothing."""
+
     def handle_peer_event(self, peer: connections.Peer, event: str) -> None:
         """Does nothing."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/node_state.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/node_state.py
@@ -65,6 +65,7 @@
             current.start_ms if current else 0,
             self._tracker.is_leaving,
             restore_count,
+            self._local_endpoint.stopping,
         )
 
     def record_change(self, state: frames.NodeState) -> bool:
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_observer.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_observer.py
@@ -56,6 +56,21 @@
     def handle_cleared_requests(self, message: frames.ClearedRequests) -> None:
         """Handles the requests to which a peer's endpoint has responded."""
 
+    @abc.abstractmethod
+    def handle_quota_request(
+        self, sender: str, request: frames.QuotaRequest
+    ) -> frames.QuotaReply | None:
+        """Handles a request for tokens; returns the reply, if there is one.
+
+        :param sender: address of the node that sent it.
+        """
+
+    @abc.abstractmethod
+    def handle_quota_reply(
+        self, peer: "connections.Peer", reply: frames.QuotaReply
+    ) -> None:
+        """Handles the reply of a peer to a request for tokens."""
+
     @abc.abstractmethod
     def build_crash_handover(self) -> frames.CrashReport | None:
         """Builds what a node that has just connected must know about crashes."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -76,6 +76,8 @@
                 self.send(self._server.observer.build_load_report())
             elif type(message) is frames.ConfigRequest:
                 self._send_config(message.version)
+            elif type(message) is frames.QuotaRequest:
+                self._handle_quota_request(message)
 
     def send(self, message: frames.Message) -> None:
         """Sends a message."""
@@ -96,6 +98,13 @@
         if handover is not None and self.takes_crash_reports:
             self.send(handover)
 
+    def _handle_quota_request(self, message: frames.QuotaRequest) -> None:
+        if not self.address or self._protocol < frames.QUOTA_VERSION:
+            return
+        reply = self._server.observer.handle_quota_request(self.address, message)
+        if reply is not None:
+            self.send(reply)
+
     def _get_reason(self, result: local_endpoint.AttemptResult) -> str:
         """Returns the reason in a result, in the terms of the peer's version."""
         reason = result.reason
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set.py
@@ -3,7 +3,8 @@
 Members are learned from the store and from nodes that introduce themselves. Connections
 are kept to a bounded subset of each service's members, see :mod:`..routing.subsetting`.
 A new node introduces itself to the members whose subsets it belongs to, since they do
-not read the store again for a long time.
+not read the store again for a long time. While customers have quotas, the connections
+that :mod:`.coordinator_order` names are kept in addition.
 """
 
 import asyncio
@@ -11,7 +12,7 @@
 
 from .. import data
 from ..routing import subsetting
-from . import connections, frames, peer_observer
+from . import connections, coordinator_order, frames, peer_observer
 
 REMOVE_AFTER_S = 30.0
 UNREACHABLE_AFTER_S = 0.5
@@ -29,6 +30,7 @@
     :param observer: handles messages and events of the peers.
     :ivar peers: nodes that this node is connected to or tries to connect to, by
         address.
+    :ivar coordinator_order: members in the order of the candidates for coordinator.
     """
 
     def __init__(
@@ -49,7 +51,9 @@
         self._weights: dict[str, int] = {}
         self._outdated_services: set[str] = set()
         self._unreachable: set[str] = set()
+        self._pinned: set[str] = set()
         self.peers: dict[str, connections.Peer] = {}
+        self.coordinator_order = coordinator_order.CoordinatorOrder(settings.inbound)
 
     @property
     def member_count(self) -> int:
@@ -107,6 +111,7 @@
         self._services[address] = member.service
         self._members.setdefault(member.service, {})[address] = member
         self._outdated_services.add(member.service)
+        self.coordinator_order.add(address)
         if address not in self._weights:
             own_address = self._settings.inbound
             self._weights[address] = subsetting.compute_weight(own_address, address)
@@ -119,6 +124,7 @@
         for address, peer in list(self.peers.items()):
             peer.tick(now)
             self._update_reachability(address, peer, now)
+        self._update_pinned()
         outdated, self._outdated_services = self._outdated_services, set()
         for service in outdated:
             self._update_subset(service, now)
@@ -190,6 +196,7 @@
         self, address: str, peer: connections.Peer, now: float
     ) -> None:
         service = self._services.get(address, "")
+        self.coordinator_order.update_presence(peer)
         unreachable_since = peer.unreachable_since
         if unreachable_since is None:
             if address in self._unreachable:
@@ -212,9 +219,17 @@
         self._members.get(service, {}).pop(address, None)
         self._services.pop(address, None)
         self._weights.pop(address, None)
+        self.coordinator_order.remove(address)
         self._outdated_services.add(service)
         self._observer.handle_peer_removed(address)
 
+    def _update_pinned(self) -> None:
+        pinned = self.coordinator_order.get_pinned(self.peers, self._unreachable)
+        for address in pinned ^ self._pinned:
+            if address in self._services:
+                self._outdated_services.add(self._services[address])
+        self._pinned = pinned
+
     def _update_subset(self, service: str, now: float) -> None:
         """Connects to the members that are selected and leaves those that are not.
 
@@ -227,6 +242,8 @@
                 members.values(), self._weights, self._settings.zone, self._unreachable
             )
         }
+        for address in self._pinned & members.keys():
+            selected[address] = members[address]
         for address in members:
             if address in self.peers and address not in selected:
                 self._leave(address, service)
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -19,7 +19,14 @@
     peer_set,
     store_watcher,
 )
-from .routing import call_graph, endpoint_directory, forwarder, subsetting
+from .quotas import quota_sync
+from .routing import (
+    call_graph,
+    edge_sync,
+    endpoint_directory,
+    forwarder,
+    subsetting,
+)
 from .serving import (
     announcements,
     endpoint_pool,
@@ -35,8 +42,6 @@
 PEER_CHECK_INTERVAL_S = 0.1
 SWEEP_INTERVAL_S = 1.0
 EDGE_REFRESH_INTERVAL_S = 0.3
-EDGE_CHANGE_RATIO = 0.1
-ROLE_CHECK_INTERVAL_S = 1.0
 CALL_GRAPH_KEEPER_COUNT = 3
 
 # A node that is about to stop refuses root requests from REFUSE_BEFORE_CLOSE_S before
@@ -81,7 +86,6 @@
         self._peers = peer_set.PeerSet(loop, settings, self._hello, self, self._rng)
         self._config: data.Config | None = None
         self._config_applied_at = 0.0
-        self._published_edges: tuple[call_graph.Edge, ...] = ()
         self._published_times = service_times.PublishedTimes()
         self._stopping = asyncio.Event()
         self._stop_started_at = 0.0
@@ -112,6 +116,15 @@
             self._broadcast_state,
         )
         self._graph = call_graph.CallGraph()
+        self._edges = edge_sync.EdgeSync(self._graph, self._store_watcher, log)
+        self._quotas = quota_sync.QuotaSync(
+            loop,
+            settings.inbound,
+            self._peers,
+            lambda: self._store_watcher.nodes_listed,
+            self._rng,
+            log,
+        )
         header_names = platform.header_names
         self._pool = endpoint_pool.EndpointConnectionPool(
             loop, settings.endpoint, header_names
@@ -159,6 +172,7 @@
             self._endpoints,
             self._graph,
             self._crash_reporter.history,
+            self._quotas,
             log,
             self.metrics,
             self._rng,
@@ -237,7 +251,7 @@
         if state.restore_count:
             self._store_watcher.handle_restore_count(state.restore_count)
         if state.edges:
-            self._merge_edges([call_graph.Edge(*edge) for edge in state.edges])
+            self._edges.merge([call_graph.Edge(*edge) for edge in state.edges])
 
     def handle_hello(self, hello: frames.Hello) -> None:
         """Adds the node that opened a connection as a member."""
@@ -264,6 +278,18 @@
         """Builds the message with all that this node knows about crashes."""
         return self._crash_reporter.build_handover()
 
+    def handle_quota_request(
+        self, sender: str, request: frames.QuotaRequest
+    ) -> frames.QuotaReply | None:
+        """Grants tokens to a peer that may follow this node."""
+        return self._quotas.handle_request(sender, request)
+
+    def handle_quota_reply(
+        self, peer: connections.Peer, reply: frames.QuotaReply
+    ) -> None:
+        """Adds the tokens that a peer granted."""
+        self._quotas.handle_reply(peer.address, reply)
+
     def _send_crash_message(
         self, message: crash_reporter.CrashMessage, service: str | None
     ) -> None:
@@ -279,7 +305,7 @@
         return self._state_builder.build_state(
             self._config_version,
             self._store_watcher.config_reading,
-            self._published_edges,
+            self._edges.published,
             self._published_times.times,
             self._peer_server.report_interval_s,
             self._store_watcher.restore_count,
@@ -322,10 +348,12 @@
             self._store_watcher.store_calls,
             history.suspect_count,
             history.block_count,
+            self._quotas.is_coordinator if self._quotas.enabled else None,
+            self._quotas.follower_count,
         )
 
     def _handle_node_record(self, key: str, record: store_watcher.NodeRecord) -> None:
-        self._merge_edges(list(record.edges))
+        self._edges.merge(list(record.edges))
         is_own = key == self._settings.node
         self._crash_reporter.block_store.load(self._loop.time(), record, is_own=is_own)
         if is_own:
@@ -357,6 +385,7 @@
         self._config = config
         self._config_applied_at = self._loop.time()
         self._config_sync.handle_config_applied()
+        self._quotas.set_config(config)
         self._forwarder.set_config(config)
         self._outbound_server.limits = config.limits
         self._log.write(
@@ -372,12 +401,12 @@
         last_tick_at = last_admission_at = self._loop.time()
         next_report_at = next_peers_at = next_sweep_at = next_edges_at = last_tick_at
         was_accepting = self._local_endpoint.accepting
-        next_role_at = last_tick_at + self._draw_role_check_delay_s()
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             now = self._loop.time()
             elapsed_s, last_tick_at = now - last_tick_at, now
             self._local_endpoint.refuse_expired(now)
+            self._quotas.tick()
             self._crash_reporter.send_newly_cleared()
             self._local_endpoint.queue.update_utilization(elapsed_s)
             if self._local_endpoint.accepting is not was_accepting:
@@ -393,14 +422,13 @@
             if now >= next_peers_at:
                 next_peers_at = now + PEER_CHECK_INTERVAL_S
                 self._peers.tick(now)
+                self._quotas.update_members(now)
                 self._config_sync.request_newer(now, self._config_version)
                 self._config_sync.update_synchronized(now, self._config_version)
-            if now >= next_role_at:
-                next_role_at = now + self._draw_role_check_delay_s()
-                self._config_sync.update_role(now)
+                self._config_sync.check_role(now)
             if now >= next_edges_at:
                 next_edges_at = now + EDGE_REFRESH_INTERVAL_S
-                self._refresh_edges()
+                self._edges.refresh()
                 self._published_times.update(self._local_endpoint.service_times, now)
             if now >= next_sweep_at:
                 next_sweep_at = now + SWEEP_INTERVAL_S
@@ -409,10 +437,6 @@
                 load_line.write_line(self._log, self._local_endpoint, self._forwarder)
             self._log.flush()
 
-    def _draw_role_check_delay_s(self) -> float:
-        """Draws the time to the next check of the role, so that nodes take turns."""
-        return ROLE_CHECK_INTERVAL_S * self._rng.uniform(0.5, 1.5)
-
     async def _introduce_itself(self) -> None:
         """Introduces this node to the members that have not connected to it.
 
@@ -426,25 +450,6 @@
         count = await self._peers.introduce(connected)
         self._log.write("peer", "Introduced to members.", members=count)
 
-    def _merge_edges(self, edges: list[call_graph.Edge]) -> None:
-        for new_edge in self._graph.merge_edges(edges):
-            self._log.write(
-                "chain", "Edge added to the call graph.", **new_edge._asdict()
-            )
-
-    def _refresh_edges(self) -> None:
-        """Updates the edges counted here; they are sent if one has changed enough."""
-        edges = self._graph.get_local_edges()
-        self._store_watcher.local_edges = tuple(edges)
-        published_calls = {edge[:3]: edge.calls for edge in self._published_edges}
-        if any(
-            abs(published_calls.get(edge[:3], 0.0) - edge.calls)
-            > EDGE_CHANGE_RATIO * edge.calls
-            for edge in edges
-        ):
-            self._merge_edges(edges)
-            self._published_edges = tuple(edges)
-
     def _reload(self) -> None:
         try:
             self._settings = self._platform.load_settings()
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -1,18 +1,18 @@
 """Processes a request on the node where it arrives.
 
 The node routes and admits the request, selects an endpoint and sends the request there.
-It forwards the endpoint's response or sends a response of its own: 503 only if the
-request has certainly not run, 502 or 504 if it may have run.
+It forwards the endpoint's response or sends a response of its own: 429 or 503 only if
+the request has certainly not run, 502 or 504 if it may have run.
 """
 
 import asyncio
-import enum
 import random
 
 from .. import data
 from ..crashes import crash_history, fingerprint
 from ..ingress import http1
 from ..membership import frames
+from ..quotas import quota_sync
 from ..serving import local_endpoint
 from ..telemetry import events, metrics
 from . import (
@@ -22,8 +22,10 @@
     endpoint_directory,
     endpoint_selection,
     failure_tracker,
+    quota_gate,
     request_head,
     request_log,
+    retry_after,
     retry_policy,
     route_table,
 )
@@ -31,27 +33,11 @@
 
 MAX_REDISPATCH_COUNT = 2
 EXPIRY_MARGIN_S = 0.01
-NO_CONFIG_RETRY_AFTER_S = 0.5
-MIN_BLOCKED_RETRY_AFTER_S = 1.0
-SUSPECT_RETRY_AFTER_S = 1.0
 MAX_PENDING_COUNT = 6000
 UNAUTHORIZED_HEADERS = b"WWW-Authenticate: Token\r\n"
 MAX_PENDING_BODY_BYTES = 64 * 1024 * 1024
 
 
-class NextStep(enum.Enum):
-    """What follows an attempt without a response; values of a log key and a label."""
-
-    RETRY = retry_policy.RetryDecision.ALLOWED.value
-    NO_ATTEMPTS = retry_policy.RetryDecision.NO_ATTEMPTS.value
-    NO_TIME = retry_policy.RetryDecision.NO_TIME.value
-    NO_BUDGET = retry_policy.RetryDecision.NO_BUDGET.value
-    REDISPATCH = "not_run_so_elsewhere"
-    WAIT = "runs_elsewhere_too"
-    MAY_HAVE_RUN = "may_have_run"
-    BLOCKED = "blocked"
-
-
 class Forwarder:
     """Forwards the requests that arrive at this node.
 
@@ -61,6 +47,7 @@
     :param endpoints: endpoints of this node and of its peers.
     :param graph: call graph of the routes.
     :param history: requests that may crash endpoints.
+    :param quotas: quotas of the customers.
     :ivar stopping: whether root requests are refused because the node stops.
     """
 
@@ -73,6 +60,7 @@
         endpoints: endpoint_directory.EndpointDirectory,
         graph: call_graph.CallGraph,
         history: crash_history.CrashHistory,
+        quotas: quota_sync.QuotaSync,
         log: events.EventLog,
         node_metrics: metrics.Metrics,
         rng: random.Random,
@@ -98,6 +86,7 @@
             header_names, endpoint.running_requests, graph, loop.time()
         )
         self._retry_policy = retry_policy.RetryPolicy(settings, graph)
+        self._quota_gate = quota_gate.QuotaGate(quotas, self._admit, self._send_refusal)
         self._pending_count = 0
         self._pending_body_bytes = 0
         self.stopping = False
@@ -182,8 +171,13 @@
         if self._get_standing(pending, now) is crash_history.Standing.BLOCKED:
             self._send_refusal(pending, data.RefusalReason.BLOCKED)
             return
+        self._quota_gate.enter(pending, now)
+
+    def _admit(self, pending: PendingRequest) -> None:
+        """Sends a request to an endpoint unless a service it needs lacks capacity."""
+        now = self._loop.time()
         if not pending.is_nested_call and not self.admission.admit_request(
-            route, pending.service, pending.rank
+            pending.route, pending.service, pending.rank
         ):
             self._send_refusal(pending, data.RefusalReason.CHAIN_OVERLOADED)
             return
@@ -316,6 +310,7 @@
         pending.may_have_run = True
         pending.last_reason = data.RefusalReason.NODE_LOST
         self._request_log.record_hedged_attempt(pending, node)
+        self._quota_gate.charge_attempt(pending)
         self._send_attempt(pending, now)
 
     def _handle_result(
@@ -341,17 +336,22 @@
             pending.may_have_run = True
         next_step = self._decide_next_step(pending, reached_endpoint, now)
         self._request_log.record_attempt_failure(pending, node, result, next_step.value)
-        if next_step is NextStep.WAIT:
+        if next_step is retry_policy.NextStep.WAIT:
             return
-        if next_step is NextStep.RETRY or next_step is NextStep.REDISPATCH:
+        if (
+            next_step is retry_policy.NextStep.RETRY
+            or next_step is retry_policy.NextStep.REDISPATCH
+        ):
             self._metrics.count("second_attempts", f'service="{pending.service}"')
+            if outcome is data.Outcome.UNKNOWN:
+                self._quota_gate.charge_attempt(pending)
             self._send_attempt(pending, now)
             return
         self._send_failure(pending, result.reason)
 
     def _decide_next_step(
         self, pending: PendingRequest, reached_endpoint: bool, now: float
-    ) -> NextStep:
+    ) -> retry_policy.NextStep:
         """Decides what follows an attempt without a response.
 
         :param reached_endpoint: whether the attempt has, or may have, reached an
@@ -362,21 +362,23 @@
             pending.may_have_run
             and pending.route.kind is data.RequestKind.NON_IDEMPOTENT
         ):
-            return NextStep.MAY_HAVE_RUN
+            return retry_policy.NextStep.MAY_HAVE_RUN
         if pending.outstanding:
-            return NextStep.WAIT
+            return retry_policy.NextStep.WAIT
         is_blocked = pending.last_reason is data.RefusalReason.BLOCKED
         if (
             is_blocked
             or self._get_standing(pending, now) is crash_history.Standing.BLOCKED
         ):
-            return NextStep.BLOCKED
+            return retry_policy.NextStep.BLOCKED
         if reached_endpoint:
-            return NextStep(self._retry_policy.decide_and_charge(pending, now).value)
+            return retry_policy.NextStep(
+                self._retry_policy.decide_and_charge(pending, now).value
+            )
         pending.redispatch_count += 1
         if pending.redispatch_count <= MAX_REDISPATCH_COUNT:
-            return NextStep.REDISPATCH
-        return NextStep.NO_ATTEMPTS
+            return retry_policy.NextStep.REDISPATCH
+        return retry_policy.NextStep.NO_ATTEMPTS
 
     def _send_response(
         self,
@@ -418,27 +420,16 @@
     def _send_refusal(
         self, pending: PendingRequest, reason: data.RefusalReason
     ) -> None:
-        """Sends a 503 response with a Retry-After header: the request has not run."""
+        """Sends a 429 or 503 response with Retry-After: the request has not run."""
         self._release(pending)
-        retry_after_s = self._compute_retry_after_s(pending, reason)
-        self._record_own_response(pending, 503, reason)
-        pending.connection.send_status(503, b"Retry-After: %.3f\r\n" % retry_after_s)
-
-    def _compute_retry_after_s(
-        self, pending: PendingRequest, reason: data.RefusalReason
-    ) -> float:
-        if pending.route is None:
-            return NO_CONFIG_RETRY_AFTER_S
-        if reason is data.RefusalReason.BLOCKED:
-            block_s = self._history.get_remaining_block_s(
-                self._loop.time(), pending.fingerprint
-            )
-            return max(MIN_BLOCKED_RETRY_AFTER_S, block_s)
-        if reason is data.RefusalReason.SUSPECT:
-            return SUSPECT_RETRY_AFTER_S
-        remaining_s = max(0.0, pending.expires_at - self._loop.time())
-        target_latency_s = pending.route.target_latency_s
-        return min(remaining_s / 3.0, target_latency_s * self._rng.uniform(0.2, 0.5))
+        status = 429 if reason is data.RefusalReason.QUOTA_EXCEEDED else 503
+        retry_after_s = retry_after.compute_retry_after_s(
+            pending, reason, self._loop.time(), self._history, self._rng
+        )
+        self._quota_gate.refund(pending)
+        self._record_own_response(pending, status, reason)
+        header = b"Retry-After: %.3f\r\n" % retry_after_s
+        pending.connection.send_status(status, header)
 
     def _handle_expiry(self, pending: PendingRequest) -> None:
         _, execution = pending.outstanding.get(
@@ -464,6 +455,7 @@
                 connection.send(frames.Cancel(execution_or_number))
 
     def _release(self, pending: PendingRequest) -> None:
+        self._quota_gate.cancel(pending)
         if pending.parent is not None:
             pending.parent.end_call(self._loop.time())
             pending.parent = None
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/pending_request.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/pending_request.py
@@ -6,6 +6,7 @@
 
 from .. import data
 from ..ingress import http1
+from ..quotas import customer_account
 from . import call_graph
 
 
@@ -27,6 +28,7 @@
         first attempt.
     :ivar rank: importance; 0 is the highest.
     :ivar customer: customer that it is charged to, if any.
+    :ivar quota_ticket: ticket of its customer's quota; None if it needs none.
     :ivar tried_nodes: addresses of the nodes that attempts were sent to.
     :ivar fingerprint: fingerprint of the request; empty until it is needed.
     :ivar outstanding: attempts without a result by node: None with a local execution,
@@ -46,6 +48,7 @@
         "last_reason",
         "outstanding",
         "parent",
+        "quota_ticket",
         "rank",
         "reached_nodes",
         "redispatch_count",
@@ -85,6 +88,7 @@
         self.is_nested_call = False
         self.rank = 0
         self.customer: data.Customer | None = None
+        self.quota_ticket: customer_account.Ticket | None = None
         self.tried_nodes: set[str] = set()
         self.reached_nodes: set[str] = set()
         self.rejecting_nodes: set[str] = set()
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/request_log.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/request_log.py
@@ -8,6 +8,8 @@
 from ..telemetry import events, metrics
 from . import admission, pending_request
 
+REFUSAL_STATUSES = (429, 503)
+
 
 class RequestLog:
     """Log lines and counters of requests.
@@ -81,7 +83,7 @@
             }
         self._log.write(
             "route",
-            "Request refused." if status == 503 else "Request failed.",
+            "Request refused." if status in REFUSAL_STATUSES else "Request failed.",
             id=pending.request_id.decode("latin-1"),
             route=route,
             service=pending.service,
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_policy.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_policy.py
@@ -24,6 +24,19 @@
     NO_BUDGET = "no_budget"
 
 
+class NextStep(enum.Enum):
+    """What follows an attempt without a response; values of a log key and a label."""
+
+    RETRY = RetryDecision.ALLOWED.value
+    NO_ATTEMPTS = RetryDecision.NO_ATTEMPTS.value
+    NO_TIME = RetryDecision.NO_TIME.value
+    NO_BUDGET = RetryDecision.NO_BUDGET.value
+    REDISPATCH = "not_run_so_elsewhere"
+    WAIT = "runs_elsewhere_too"
+    MAY_HAVE_RUN = "may_have_run"
+    BLOCKED = "blocked"
+
+
 class RetryPolicy:
     """Retry budgets of this node for all services."""
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/telemetry/gauges.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/telemetry/gauges.py
@@ -18,6 +18,9 @@
     :param store_calls: number of calls to the store, by kind and result.
     :param suspect_count: requests that may crash endpoints, as far as the node knows.
     :param block_count: requests that are or have been blocked for that.
+    :param is_quota_coordinator: whether the node follows itself as the coordinator of
+        the quotas; None without quotas.
+    :param quota_follower_count: number of nodes that follow it, itself included.
     """
 
     config_version: int | None
@@ -27,6 +30,8 @@
     store_calls: Mapping[tuple[str, str], int]
     suspect_count: int
     block_count: int
+    is_quota_coordinator: bool | None
+    quota_follower_count: int
 
 
 def set_gauges(
@@ -52,6 +57,10 @@
     node_metrics.set_gauge("pending", "", values.pending_count)
     node_metrics.set_gauge("crash_suspects", "", values.suspect_count)
     node_metrics.set_gauge("blocked_requests", "", values.block_count)
+    if values.is_quota_coordinator is not None:
+        followers = values.quota_follower_count
+        node_metrics.set_gauge("quota_coordinator", "", values.is_quota_coordinator)
+        node_metrics.set_gauge("quota_followers", "", followers)
     for service, remaining in values.remaining_retries.items():
         node_metrics.set_gauge("retry_budget_left", f'service="{service}"', remaining)
     for (call, result), count in values.store_calls.items():
