Periodic tasks and shutdown of a node are modules of their own

Cause: node.py had 500 lines, and each new part needs to be wired there. Change: the loop of the recurring tasks and the graceful shutdown move to periodic_tasks and shutdown; the order and the intervals of the tasks stay.

--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -5,7 +5,7 @@
 import secrets
 import signal
 
-from . import data, interfaces
+from . import data, interfaces, periodic_tasks, shutdown
 from .crashes import crash_reporter
 from .ingress import http1
 from .membership import (
@@ -37,21 +37,12 @@
 )
 from .telemetry import events, gauges, load_line, metrics, status_pages
 
-TICK_INTERVAL_S = 0.05
 ADMISSION_INTERVAL_S = 0.1
 PEER_CHECK_INTERVAL_S = 0.1
 SWEEP_INTERVAL_S = 1.0
 EDGE_REFRESH_INTERVAL_S = 0.3
 CALL_GRAPH_KEEPER_COUNT = 3
 
-# A node that is about to stop refuses root requests from REFUSE_BEFORE_CLOSE_S before
-# the end of MIN_SHUTDOWN_S. After MIN_SHUTDOWN_S it closes its clients' connections and
-# stops once it is idle, at the latest KILL_MARGIN_S before the platform kills it.
-MIN_SHUTDOWN_S = 3.3
-REFUSE_BEFORE_CLOSE_S = 0.4
-KILL_MARGIN_S = 0.6
-REPLY_FLUSH_S = 0.15
-
 DEFAULT_LIMITS = data.ClientLimits(16384, 64 * 1024 * 1024, 3.0, 15.0)
 
 
@@ -88,7 +79,6 @@
         self._config_applied_at = 0.0
         self._published_times = service_times.PublishedTimes()
         self._stopping = asyncio.Event()
-        self._stop_started_at = 0.0
         self._tasks: list[asyncio.Task] = []
         self._failure: BaseException | None = None
         self.metrics = metrics.Metrics()
@@ -193,6 +183,17 @@
         )
         self._readiness_server = self._create_server(pages.handle_readiness)
         self._metrics_server = self._create_server(pages.handle_metrics)
+        self._shutdown = shutdown.Shutdown(
+            loop,
+            settings.grace_s,
+            self._local_endpoint,
+            self._forwarder,
+            self._outbound_server,
+            self._broadcast_state,
+        )
+        self._was_accepting = self._local_endpoint.accepting
+        self._periodic_tasks = periodic_tasks.PeriodicTasks(loop)
+        self._add_periodic_tasks()
 
     @property
     def _config_version(self) -> int:
@@ -226,7 +227,7 @@
         self._tasks = [
             self._loop.create_task(self._store_watcher.watch_config()),
             self._loop.create_task(self._store_watcher.watch_node_records()),
-            self._loop.create_task(self._run_periodic_tasks()),
+            self._loop.create_task(self._periodic_tasks.run()),
             self._loop.create_task(self._introduce_itself()),
         ]
         for task in self._tasks:
@@ -397,45 +398,45 @@
         )
         self._broadcast_state()
 
-    async def _run_periodic_tasks(self) -> None:
-        last_tick_at = last_admission_at = self._loop.time()
-        next_report_at = next_peers_at = next_sweep_at = next_edges_at = last_tick_at
-        was_accepting = self._local_endpoint.accepting
-        while True:
-            await asyncio.sleep(TICK_INTERVAL_S)
-            now = self._loop.time()
-            elapsed_s, last_tick_at = now - last_tick_at, now
-            self._local_endpoint.refuse_expired(now)
-            self._quotas.tick()
-            self._crash_reporter.send_newly_cleared()
-            self._local_endpoint.queue.update_utilization(elapsed_s)
-            if self._local_endpoint.accepting is not was_accepting:
-                was_accepting = not was_accepting
-                self._broadcast_state()
-            if now >= last_admission_at + ADMISSION_INTERVAL_S:
-                self._forwarder.admission.update(now, now - last_admission_at)
-                last_admission_at = now
-            if now >= next_report_at:
-                next_report_at = now + peer_server.REPORT_ROUND_INTERVAL_S
-                self._broadcast_state()
-                self._peer_server.send_reports()
-            if now >= next_peers_at:
-                next_peers_at = now + PEER_CHECK_INTERVAL_S
-                self._peers.tick(now)
-                self._quotas.update_members(now)
-                self._config_sync.request_newer(now, self._config_version)
-                self._config_sync.update_synchronized(now, self._config_version)
-                self._config_sync.check_role(now)
-            if now >= next_edges_at:
-                next_edges_at = now + EDGE_REFRESH_INTERVAL_S
-                self._edges.refresh()
-                self._published_times.update(self._local_endpoint.service_times, now)
-            if now >= next_sweep_at:
-                next_sweep_at = now + SWEEP_INTERVAL_S
-                self._outbound_server.close_timed_out(now)
-                self._crash_reporter.history.drop_expired(now)
-                load_line.write_line(self._log, self._local_endpoint, self._forwarder)
-            self._log.flush()
+    def _add_periodic_tasks(self) -> None:
+        add = self._periodic_tasks.add
+        add(periodic_tasks.EVERY_TICK_S, self._handle_tick)
+        add(ADMISSION_INTERVAL_S, self._forwarder.admission.update)
+        add(peer_server.REPORT_ROUND_INTERVAL_S, self._send_reports)
+        add(PEER_CHECK_INTERVAL_S, self._check_peers)
+        add(EDGE_REFRESH_INTERVAL_S, self._refresh_edges)
+        add(SWEEP_INTERVAL_S, self._sweep)
+        add(periodic_tasks.EVERY_TICK_S, lambda _now, _elapsed_s: self._log.flush())
+
+    def _handle_tick(self, now: float, elapsed_s: float) -> None:
+        endpoint = self._local_endpoint
+        endpoint.refuse_expired(now)
+        self._quotas.tick()
+        self._crash_reporter.send_newly_cleared()
+        endpoint.queue.update_utilization(elapsed_s)
+        if endpoint.accepting is not self._was_accepting:
+            self._was_accepting = not self._was_accepting
+            self._broadcast_state()
+
+    def _send_reports(self, now: float, elapsed_s: float) -> None:
+        self._broadcast_state()
+        self._peer_server.send_reports()
+
+    def _check_peers(self, now: float, elapsed_s: float) -> None:
+        self._peers.tick(now)
+        self._quotas.update_members(now)
+        self._config_sync.request_newer(now, self._config_version)
+        self._config_sync.update_synchronized(now, self._config_version)
+        self._config_sync.check_role(now)
+
+    def _refresh_edges(self, now: float, elapsed_s: float) -> None:
+        self._edges.refresh()
+        self._published_times.update(self._local_endpoint.service_times, now)
+
+    def _sweep(self, now: float, elapsed_s: float) -> None:
+        self._outbound_server.close_timed_out(now)
+        self._crash_reporter.history.drop_expired(now)
+        load_line.write_line(self._log, self._local_endpoint, self._forwarder)
 
     async def _introduce_itself(self) -> None:
         """Introduces this node to the members that have not connected to it.
@@ -464,33 +465,12 @@
         self._log.write(
             "node", "Node is stopping.", pending=self._forwarder.pending_count
         )
-        self._local_endpoint.stopping = True
-        self._stop_started_at = self._loop.time()
-        self._broadcast_state()
+        self._shutdown.start()
         self._stopping.set()
 
     async def _shut_down(self) -> None:
         """Serves the pending requests as far as the time allows, then stops."""
-        close_at = self._stop_started_at + MIN_SHUTDOWN_S
-        latest_end_at = self._stop_started_at + self._settings.grace_s - KILL_MARGIN_S
-        while True:
-            now = self._loop.time()
-            busy = self._forwarder.pending_count or self._local_endpoint.queue.load
-            if now >= latest_end_at or (now >= close_at and not busy):
-                break
-            if (
-                now >= close_at - REFUSE_BEFORE_CLOSE_S
-                and not self._local_endpoint.lame_duck_ended
-            ):
-                self._local_endpoint.lame_duck_ended = True
-                self._forwarder.stopping = True
-                self._broadcast_state()
-            if now >= close_at:
-                self._outbound_server.closing = True
-            await asyncio.sleep(TICK_INTERVAL_S)
-        self._outbound_server.stop_listening()
-        self._outbound_server.close_idle()
-        await asyncio.sleep(REPLY_FLUSH_S)
+        await self._shutdown.serve_pending()
         self._log.write("node", "Node stopped.", pending=self._forwarder.pending_count)
         self._log.flush()
         for task in self._tasks:
