Peers are indexed by service for the selection of an endpoint

Cause: for each request the directory iterated over the peers of all services to find the few of one service. Change: the peer set keeps an index of its peers by the service in their last node state, rebuilt after a peer was added, was removed or named another service. The order of the candidates stays that of the peers. Tests: the index follows states, a peer that changes its service and changes back, one that is removed and returns, one that leaves the subset.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -190,6 +190,8 @@
     :ivar unreachable_since: time of the event loop since which it cannot be reached,
         in seconds; None while it is connected.
     :ivar announced_stop: whether its process has said that it is about to stop.
+    :ivar on_service_change: called when a node state names another service than the
+        state before.
     """
 
     def __init__(
@@ -217,6 +219,7 @@
         self.sent_since_report = 0
         self.unreachable_since: float | None = None
         self.announced_stop = False
+        self.on_service_change: Callable[[], None] = _ignore
         self._left_endpoint: tuple[str, int] | None = None
         self._has_endpoint = False
         self._observer = observer
@@ -362,7 +365,9 @@
         if isinstance(message, frames.LoadReport):
             self._handle_load_report(message)
         elif isinstance(message, frames.NodeState):
-            self.state = message
+            previous, self.state = self.state, message
+            if previous is None or previous.service != message.service:
+                self.on_service_change()
             endpoint = (message.instance, message.start_ms)
             self.announced_stop = message.stopping
             if message.leaving:
@@ -477,3 +482,7 @@
         self._reconnect_at = 0.0
         self.unreachable_since = None
         self._observer.handle_peer_event(self, "connected")
+
+
+def _ignore() -> None:
+    pass
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import random
+from collections.abc import Mapping
 
 from .. import data
 from ..routing import subsetting
@@ -53,6 +54,7 @@
         self._unreachable: set[str] = set()
         self._sampled_ratios: dict[str, float] = {}
         self._pinned: set[str] = set()
+        self._service_peers: dict[str, dict[str, connections.Peer]] | None = None
         self.peers: dict[str, connections.Peer] = {}
         self.coordinator_order = coordinator_order.CoordinatorOrder(settings.inbound)
 
@@ -70,6 +72,20 @@
         """Returns the peer at an address; None if there is none."""
         return self.peers.get(address)
 
+    def get_service_peers(self, service: str) -> Mapping[str, connections.Peer]:
+        """Returns the peers whose last node state names a service, by address.
+
+        The peers are indexed by service at the first call after one of them was added,
+        was removed or changed its service.
+        """
+        if self._service_peers is None:
+            self._service_peers = {}
+            for address, peer in self.peers.items():
+                if peer.state is not None:
+                    group = self._service_peers.setdefault(peer.state.service, {})
+                    group[address] = peer
+        return self._service_peers.get(service, {})
+
     def get_members(self) -> list[subsetting.Member]:
         """Returns all members."""
         return [member for group in self._members.values() for member in group.values()]
@@ -239,6 +255,7 @@
     def _remove(self, address: str, service: str) -> None:
         self.peers.pop(address).close()
         self._sampled_ratios.clear()
+        self._drop_service_index()
         self._unreachable.discard(address)
         self._members.get(service, {}).pop(address, None)
         self._services.pop(address, None)
@@ -281,16 +298,22 @@
                     self._observer,
                     self._rng,
                 )
+                peer.on_service_change = self._drop_service_index
                 self.peers[address] = peer
                 self._sampled_ratios.clear()
+                self._drop_service_index()
                 peer.tick(now)
 
+    def _drop_service_index(self) -> None:
+        self._service_peers = None
+
     def _leave(self, address: str, service: str) -> None:
         if self.peers[address].outstanding_count:
             self._outdated_services.add(service)
             return
         self.peers.pop(address).close()
         self._sampled_ratios.clear()
+        self._drop_service_index()
         self._unreachable.discard(address)
         self._observer.handle_peer_removed(address)
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set_test.py
@@ -4,10 +4,12 @@
 import random
 from collections.abc import Awaitable, Callable
 
+import msgspec
+
 from .. import data, node_test
 from ..routing import subsetting
 from . import connections, frames, peer_server, peer_set
-from .frames_test import CountingObserver
+from .frames_test import CountingObserver, build_node_state
 
 CONNECT_WAIT_S = 5.0
 UNUSED_PORT = 1
@@ -46,6 +48,11 @@
     return subsetting.Member(f"127.0.1.{number}:{UNUSED_PORT}", "zone-2", service)
 
 
+def build_state(service: str) -> frames.NodeState:
+    """Builds the state of a node beside an endpoint of a service."""
+    return msgspec.structs.replace(build_node_state(), service=service)
+
+
 async def wait_until(condition: Callable[[], bool]) -> None:
     """Waits until a condition holds.
 
@@ -185,6 +192,86 @@
         run(check)
 
 
+class TestServicePeers:
+    """The index of peers by service must not keep peers that went or changed.
+
+    Requests would be sent to an endpoint of another service, or a new one would get
+    none.
+    """
+
+    def test_it_follows_node_states(self) -> None:
+        async def check() -> None:
+            peers = build_peer_set(RecordingObserver())
+            for number in (1, 2):
+                peers.add_member(build_unreachable_member(number))
+            peers.tick(asyncio.get_running_loop().time())
+            first, second = peers.peers.values()
+            assert not peers.get_service_peers("pay")
+            first.handle_message(build_state("pay"))
+            assert peers.get_service_peers("pay") == {first.address: first}
+            second.handle_message(build_state("pay"))
+            assert list(peers.get_service_peers("pay").values()) == [first, second]
+            first.handle_message(build_state("stock"))
+            assert peers.get_service_peers("pay") == {second.address: second}
+            assert peers.get_service_peers("stock") == {first.address: first}
+            first.handle_message(build_state("pay"))
+            assert list(peers.get_service_peers("pay").values()) == [first, second]
+            assert not peers.get_service_peers("stock")
+            peers.close()
+
+        run(check)
+
+    def test_peer_that_was_removed_and_returns(self) -> None:
+        async def check() -> None:
+            peers = build_peer_set(RecordingObserver())
+            now = asyncio.get_running_loop().time()
+            member = build_unreachable_member(1)
+            peers.add_member(member)
+            peers.tick(now)
+            (gone,) = peers.peers.values()
+            gone.handle_message(build_state("pay"))
+            assert peers.get_service_peers("pay") == {member.address: gone}
+            gone.unreachable_since = now
+            peers.tick(now + 2 * peer_set.REMOVE_AFTER_S)
+            assert not peers.get_service_peers("pay")
+            gone.handle_message(build_state("pay"))
+            assert not peers.get_service_peers("pay")
+            peers.add_member(member)
+            peers.tick(now)
+            (returned,) = peers.peers.values()
+            assert not peers.get_service_peers("pay")
+            returned.handle_message(build_state("pay"))
+            assert peers.get_service_peers("pay") == {member.address: returned}
+            peers.close()
+
+        run(check)
+
+    def test_peer_that_left_the_subset(self) -> None:
+        async def check() -> None:
+            peers = build_peer_set(RecordingObserver())
+            now = asyncio.get_running_loop().time()
+            for number in range(subsetting.SUBSET_SIZE):
+                peers.add_member(build_unreachable_member(number))
+            peers.tick(now)
+            for peer in peers.peers.values():
+                peer.handle_message(build_state("pay"))
+            assert peers.get_service_peers("pay") == peers.peers
+            for number in range(100, 200):
+                peers.add_member(build_unreachable_member(number))
+            before = set(peers.peers)
+            peers.tick(now)
+            assert before - set(peers.peers)
+            known = {
+                address: peer
+                for address, peer in peers.peers.items()
+                if peer.state is not None
+            }
+            assert peers.get_service_peers("pay") == known
+            peers.close()
+
+        run(check)
+
+
 class TestIntroduction:
     """A new node introduces itself to the members that should connect to it."""
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
@@ -95,14 +95,8 @@
                 )
             )
         zone = self._settings.zone
-        for address, peer in self._peers.peers.items():
-            state = peer.state
-            if (
-                state is None
-                or state.service != service
-                or not (peer.accepting or peer.lame_duck)
-                or address in tried_nodes
-            ):
+        for address, peer in self._peers.get_service_peers(service).items():
+            if not peer.takes_requests or address in tried_nodes:
                 continue
             same_zone = peer.zone == zone
             group = suspects if peer.is_suspect(now) else candidates
@@ -117,7 +111,7 @@
                     SAME_ZONE_ROUND_TRIP_S if same_zone else OTHER_ZONE_ROUND_TRIP_S,
                     self._get_failure_ratio(address, now),
                     now - peer.load_known_at,
-                    state.rate_limit,
+                    peer.state.rate_limit,
                 )
             )
         return candidates or suspects
@@ -128,9 +122,7 @@
         Then one of them may be lost to a request that may crash it.
         """
         states = [
-            peer.accepting
-            for peer in self._peers.peers.values()
-            if peer.state is not None and peer.state.service == service
+            peer.accepting for peer in self._peers.get_service_peers(service).values()
         ]
         if service == self._settings.service:
             states.append(self._local_endpoint.accepting)
