Retries that no preceding request needs are left to nested calls

Cause: nested calls of lower ranks could use a quarter of the retry budget, the rest was kept for the highest rank and for root requests, even where none of them was sent. Change: one retry is kept for each first attempt that precedes, in the order highest rank, root requests, nested calls; the former parts are the least that is granted.

--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -185,7 +185,7 @@
         pending.expiry_timer = self._loop.call_at(
             pending.expires_at, self._handle_expiry, pending
         )
-        self._retry_policy.record_first_attempt(pending.service, now)
+        self._retry_policy.record_first_attempt(pending, now)
         self._send_attempt(pending, now)
 
     def _apply_identity(
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_budget_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_budget_test.py
@@ -13,7 +13,7 @@
 
     def test_new_node_allows_no_retry(self) -> None:
         assert not retry_budget.RetryBudget(RATIO, WINDOW_S).allows_retry(
-            5.0, 1.0, retry_budget.BudgetShare.HIGHEST_RANK
+            5.0, 1.0, retry_budget.Precedence.HIGHEST_RANK
         )
 
     def test_sum_over_nodes_stays_below_the_ratio_in_every_window(self) -> None:
@@ -27,10 +27,10 @@
             node = rng.choice(nodes)
             if rng.random() < 0.001:
                 nodes[rng.randrange(7)] = retry_budget.RetryBudget(RATIO, WINDOW_S)
-            node.record_first_attempt(now)
+            node.record_first_attempt(now, retry_budget.Precedence.ROOT_REQUEST)
             first_attempts.append(now)
             while (
-                node.allows_retry(now, 1.0, retry_budget.BudgetShare.HIGHEST_RANK)
+                node.allows_retry(now, 1.0, retry_budget.Precedence.HIGHEST_RANK)
                 and rng.random() < 0.9
             ):
                 node.record_retry(now, 1.0)
@@ -49,35 +49,53 @@
     def test_nested_calls_leave_a_part_to_root_requests(self) -> None:
         budget = retry_budget.RetryBudget(RATIO, WINDOW_S)
         for _ in range(100):
-            budget.record_first_attempt(1.0)
+            budget.record_first_attempt(1.0, retry_budget.Precedence.ROOT_REQUEST)
         charged = 0
-        while budget.allows_retry(1.0, 1.0, retry_budget.BudgetShare.NESTED_CALL):
+        while budget.allows_retry(1.0, 1.0, retry_budget.Precedence.NESTED_CALL):
             budget.record_retry(1.0, 1.0)
             charged += 1
         assert 0 < charged < RATIO * 100 * retry_budget.SAFETY_RATIO
-        assert budget.allows_retry(1.0, 1.0, retry_budget.BudgetShare.ROOT_REQUEST)
+        assert budget.allows_retry(1.0, 1.0, retry_budget.Precedence.ROOT_REQUEST)
 
     def test_root_requests_leave_a_part_to_the_highest_rank(self) -> None:
         budget = retry_budget.RetryBudget(RATIO, WINDOW_S)
         for _ in range(100):
-            budget.record_first_attempt(1.0)
-        while budget.allows_retry(1.0, 1.0, retry_budget.BudgetShare.ROOT_REQUEST):
+            budget.record_first_attempt(1.0, retry_budget.Precedence.HIGHEST_RANK)
+        while budget.allows_retry(1.0, 1.0, retry_budget.Precedence.ROOT_REQUEST):
             budget.record_retry(1.0, 1.0)
-        assert budget.allows_retry(1.0, 1.0, retry_budget.BudgetShare.HIGHEST_RANK)
+        assert budget.allows_retry(1.0, 1.0, retry_budget.Precedence.HIGHEST_RANK)
+
+    def test_lower_precedence_uses_what_nobody_precedes(self) -> None:
+        # Otherwise the retries of a service with nested calls only are never used.
+        budget = retry_budget.RetryBudget(RATIO, WINDOW_S)
+        for number in range(100):
+            precedence = retry_budget.Precedence.NESTED_CALL
+            if number < 5:
+                precedence = retry_budget.Precedence.HIGHEST_RANK
+            budget.record_first_attempt(1.0, precedence)
+        charged = 0
+        while budget.allows_retry(1.0, 1.0, retry_budget.Precedence.NESTED_CALL):
+            budget.record_retry(1.0, 1.0)
+            charged += 1
+        assert charged == 12
+        for _ in range(5):
+            assert budget.allows_retry(1.0, 1.0, retry_budget.Precedence.HIGHEST_RANK)
+            budget.record_retry(1.0, 1.0)
+        assert not budget.allows_retry(1.0, 1.0, retry_budget.Precedence.HIGHEST_RANK)
 
     def test_cost_of_nested_calls_is_charged(self) -> None:
         budget = retry_budget.RetryBudget(RATIO, WINDOW_S)
         for _ in range(100):
-            budget.record_first_attempt(1.0)
-        assert not budget.allows_retry(1.0, 18.0, retry_budget.BudgetShare.HIGHEST_RANK)
-        assert budget.allows_retry(1.0, 16.0, retry_budget.BudgetShare.HIGHEST_RANK)
+            budget.record_first_attempt(1.0, retry_budget.Precedence.HIGHEST_RANK)
+        assert not budget.allows_retry(1.0, 18.0, retry_budget.Precedence.HIGHEST_RANK)
+        assert budget.allows_retry(1.0, 16.0, retry_budget.Precedence.HIGHEST_RANK)
 
     def test_first_attempts_expire_with_the_window(self) -> None:
         budget = retry_budget.RetryBudget(RATIO, WINDOW_S)
         for _ in range(100):
-            budget.record_first_attempt(1.0)
+            budget.record_first_attempt(1.0, retry_budget.Precedence.HIGHEST_RANK)
         assert not budget.allows_retry(
-            1.0 + 2 * WINDOW_S, 1.0, retry_budget.BudgetShare.HIGHEST_RANK
+            1.0 + 2 * WINDOW_S, 1.0, retry_budget.Precedence.HIGHEST_RANK
         )
 
 
@@ -91,7 +109,7 @@
     ROOT_REQUEST_COUNT = 4000
     REJECTED_RATIO = 0.55
 
-    def simulate(self, top_rank_share: retry_budget.BudgetShare) -> dict[bool, float]:
+    def simulate(self, top_precedence: retry_budget.Precedence) -> dict[bool, float]:
         """Returns success ratios: True for the highest rank, False for the others."""
         rng = random.Random(3)
         budget = retry_budget.RetryBudget(RATIO, WINDOW_S)
@@ -99,11 +117,11 @@
         for number in range(self.ROOT_REQUEST_COUNT):
             now = number * 0.004
             is_top_rank = number % 5 == 0
-            share = (
-                top_rank_share if is_top_rank else retry_budget.BudgetShare.NESTED_CALL
+            precedence = (
+                top_precedence if is_top_rank else retry_budget.Precedence.NESTED_CALL
             )
             all_succeeded = all(
-                self.send_call(budget, now, share, rng)
+                self.send_call(budget, now, precedence, rng)
                 for _ in range(self.CALLS_PER_REQUEST)
             )
             success_counts[is_top_rank] += all_succeeded
@@ -116,19 +134,19 @@
         self,
         budget: retry_budget.RetryBudget,
         now: float,
-        share: retry_budget.BudgetShare,
+        precedence: retry_budget.Precedence,
         rng: random.Random,
     ) -> bool:
-        budget.record_first_attempt(now)
+        budget.record_first_attempt(now, precedence)
         if rng.random() >= self.REJECTED_RATIO:
             return True
-        if not budget.allows_retry(now, 1.0, share):
+        if not budget.allows_retry(now, 1.0, precedence):
             return False
         budget.record_retry(now, 1.0)
         return rng.random() >= self.REJECTED_RATIO
 
     def test_highest_rank_gets_the_retries(self) -> None:
-        equal_shares = self.simulate(retry_budget.BudgetShare.NESTED_CALL)
-        ranked_shares = self.simulate(retry_budget.BudgetShare.HIGHEST_RANK)
-        assert ranked_shares[True] > 1.5 * equal_shares[True]
-        assert ranked_shares[True] > 3 * ranked_shares[False]
+        equal = self.simulate(retry_budget.Precedence.NESTED_CALL)
+        ranked = self.simulate(retry_budget.Precedence.HIGHEST_RANK)
+        assert ranked[True] > 1.5 * equal[True]
+        assert ranked[True] > 3 * ranked[False]
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_policy.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_policy.py
@@ -52,9 +52,12 @@
         ranks += [each.rank for each in config.customers if each.rank is not None]
         self._highest_rank = min(ranks, default=0)
 
-    def record_first_attempt(self, service: str, now: float) -> None:
+    def record_first_attempt(
+        self, pending: pending_request.PendingRequest, now: float
+    ) -> None:
         """Counts the first attempt of a request."""
-        self._get_budget(service).record_first_attempt(now)
+        precedence = self._get_precedence(pending)
+        self._get_budget(pending.service).record_first_attempt(now, precedence)
 
     def get_remaining_retries(self, now: float) -> dict[str, float]:
         """Returns the number of retries that are left in each service's budget."""
@@ -85,23 +88,23 @@
         """
         costs = dict(self._graph.get_downstream_calls(pending.route.name))
         costs[pending.service] = costs.get(pending.service, 0.0) + 1.0
-        share = self._get_budget_share(pending)
+        precedence = self._get_precedence(pending)
         budgets = {name: self._get_budget(name) for name in costs}
         for name, cost in costs.items():
-            if not budgets[name].allows_retry(now, cost, share):
+            if not budgets[name].allows_retry(now, cost, precedence):
                 return False
         for name, cost in costs.items():
             budgets[name].record_retry(now, cost)
         return True
 
-    def _get_budget_share(
+    def _get_precedence(
         self, pending: pending_request.PendingRequest
-    ) -> retry_budget.BudgetShare:
+    ) -> retry_budget.Precedence:
         if pending.rank <= self._highest_rank:
-            return retry_budget.BudgetShare.HIGHEST_RANK
+            return retry_budget.Precedence.HIGHEST_RANK
         if not pending.is_nested_call:
-            return retry_budget.BudgetShare.ROOT_REQUEST
-        return retry_budget.BudgetShare.NESTED_CALL
+            return retry_budget.Precedence.ROOT_REQUEST
+        return retry_budget.Precedence.NESTED_CALL
 
     def _get_budget(self, service: str) -> retry_budget.RetryBudget:
         budget = self._budgets.get(service)
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_policy_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_policy_test.py
@@ -29,7 +29,7 @@
     settings = node_test.build_settings()._replace(retry_ratio=0.2, retry_window_s=10.0)
     policy = retry_policy.RetryPolicy(settings, call_graph.CallGraph())
     for _ in range(FIRST_ATTEMPTS):
-        policy.record_first_attempt("stock", 0.0)
+        policy.record_first_attempt(build_pending(set(), set(), 0), 0.0)
     return policy
 
 
