A connection that the store resets at once no longer ends the node

Cause: between the end of the connect and the first write the event loop may report that the connection is lost. The write then met no transport, and the AttributeError ended the task that reads the config, and with it the process. Seen in a test with a proxy that resets new connections, once in its first run.

Change: the call fails like any other call on a lost connection and is repeated.

--- a/packages/catkintiller-relay/src/catkintiller_relay/store_connection.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/store_connection.py
@@ -83,8 +83,15 @@
         return self._transport is not None and not self._transport.is_closing()
 
     def send(self, head: str, body: bytes) -> asyncio.Future[Response]:
-        """Sends a request and returns a future of its response."""
+        """Sends a request and returns a future of its response.
+
+        The future fails with :class:`.data.StoreError`, also if the store has reset the
+        connection before the request could be sent.
+        """
         self._pending = asyncio.get_running_loop().create_future()
+        if self._transport is None:
+            self._pending.set_exception(data.StoreError("connection lost"))
+            return self._pending
         self._parser = httptools.HttpResponseParser(self)
         self._body_chunks = []
         self._headers = {}
