With strictRevoke a node that is out of touch honours no key; tests of customers

Cause: a node that reaches neither the store nor a peer that does cannot learn that a key was revoked. The setting strictRevoke demands that it refuses then; the code did not read the setting.

Change: a node records the time at which it began a read of the store that returned no newer config. Other nodes ask a peer that reads the store for the age of what it knows, at most every tenth of the bound, and count from the time of the question. Above the bound (setting revoke) requests with keys get 503 (reason keys_outdated), public routes are served without a customer, nested calls go on. Without the setting nothing is sent or checked.

--- a/packages/catkintiller-relay/src/catkintiller_relay/data.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/data.py
@@ -175,6 +175,9 @@
     :param retry_window_s: window over which both bounds hold, in seconds.
     :param memory_mb: memory limit of the process, in megabytes.
     :param max_fds: limit of open file descriptors of the process.
+    :param revoke_s: time in which a withdrawn key stops being honoured, in seconds.
+    :param strict_revoke: whether requests with keys are refused while this node cannot
+        know which keys were withdrawn within that time.
     """
 
     node: str
@@ -196,6 +199,13 @@
     memory_mb: int
     max_fds: int
     store: StoreSettings
+    revoke_s: float = 5.0
+    strict_revoke: bool = False
+
+    @property
+    def max_key_age_s(self) -> float | None:
+        """Longest age of what is known about keys, in seconds; None for no limit."""
+        return self.revoke_s if self.strict_revoke else None
 
 
 class StoreRecord(NamedTuple):
@@ -254,6 +264,7 @@
     PARENT_ENDED = "parent_ended"
     QUOTA_EXCEEDED = "quota_exceeded"
     QUOTA_UNKNOWN = "quota_unknown"
+    KEYS_OUTDATED = "keys_outdated"
 
 
 class Outcome(enum.IntEnum):
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/config_sync.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/config_sync.py
@@ -5,7 +5,7 @@
 
 from .. import data
 from ..telemetry import events
-from . import config_role, peer_set, store_watcher
+from . import config_age, config_role, frames, peer_set, store_watcher
 
 # Time that a node that reads the store waits for a config that a peer already has, and
 # time that a peer has to send a config before another one is asked.
@@ -20,20 +20,21 @@
 class ConfigSync:
     """Role of this node in reading configs, and its requests to peers.
 
-    :param own_address: address where this node accepts connections of other nodes.
     :param on_role_change: called when the node starts or stops reading the store.
     """
 
     def __init__(
         self,
-        own_address: str,
+        settings: data.Settings,
         watcher: store_watcher.StoreWatcher,
         peers: peer_set.PeerSet,
         rng: random.Random,
         log: events.EventLog,
         on_role_change: Callable[[], None],
     ) -> None:
-        self._own_address = own_address
+        self._own_address = settings.inbound
+        self._age = config_age.ConfigAge(settings.max_key_age_s)
+        watcher.on_config_read = self._age.confirm
         self._store_watcher = watcher
         self._peers = peers
         self._rng = rng
@@ -69,6 +70,34 @@
         has_waited = now - self._started_at >= MAX_START_WAIT_S
         self._synchronized = has_waited or (is_heard and has_newest)
 
+    @property
+    def is_current(self) -> bool:
+        """Whether keys that are in force here may be honoured."""
+        return self._age.is_within_bound
+
+    def build_reply(
+        self, request: frames.ConfigRequest, config: data.Config | None
+    ) -> frames.ConfigReply | None:
+        """Builds the reply to a peer's request for the config.
+
+        :param config: config in force, if there is one.
+        """
+        if config is None:
+            return None
+        raw = config.raw if config.version > request.version else b""
+        if not raw and not request.number:
+            return None
+        age_ms = self._age.get_age_ms()
+        return frames.ConfigReply(config.version, raw, request.number, age_ms)
+
+    def handle_reply(self, reply: frames.ConfigReply, version: int) -> None:
+        """Handles the age in the reply of a peer, after its config was applied.
+
+        :param version: version of the config in force; 0 without one.
+        """
+        if version >= reply.version:
+            self._age.handle_reply(reply.number, reply.age_ms)
+
     def handle_config_applied(self) -> None:
         """Allows the next request at once, since the last one has succeeded."""
         self._requested_at = float("-inf")
@@ -114,6 +143,7 @@
         :param now: time of the event loop, in seconds.
         :param version: version of the config in force; 0 without one.
         """
+        self._request_age(now, version)
         peers = self._peers.get_peers_with_newer_config(now, version)
         if not peers:
             self._newer_seen_at = None
@@ -131,3 +161,16 @@
         ):
             self._requested_at = now
             self._rng.choice(peers).request_config(version)
+
+    def _request_age(self, now: float, version: int) -> None:
+        """Asks a peer that reads the store how recent its config is, if that is due."""
+        if not self._age.is_request_due:
+            return
+        readers = [
+            peer
+            for peer in self._peers.get_responsive_peers(now)
+            if peer.config_reading is data.ConfigReading.FROM_STORE
+        ]
+        if readers:
+            number = self._age.begin_request()
+            self._rng.choice(readers).request_config(version, number)
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -347,10 +347,14 @@
         self.service_time_s = service_time_us / 1e6
         self.sent_since_report = 0
 
-    def request_config(self, version: int) -> None:
-        """Requests a config that is newer than ``version``."""
+    def request_config(self, version: int, number: int = 0) -> None:
+        """Requests a config that is newer than ``version``.
+
+        :param number: number of a request for the age of what the peer knows; 0 if it
+            is not requested.
+        """
         if self.connected:
-            self._connection.send(frames.ConfigRequest(version))
+            self._connection.send(frames.ConfigRequest(version, number))
 
     def request_quota(self, request: frames.QuotaRequest) -> None:
         """Requests tokens if the peer is connected and knows such requests."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
@@ -173,16 +173,29 @@
 
 
 class ConfigRequest(msgspec.Struct, tag=6, array_like=True):
-    """Requests a config that is newer than ``version``."""
+    """Requests a config that is newer than ``version``.
+
+    :param number: number of a request for the age of the receiver's knowledge; 0 if it
+        is not requested or the sender is of an older version.
+    """
 
     version: int
+    number: int = 0
 
 
 class ConfigReply(msgspec.Struct, tag=7, array_like=True):
-    """A config, encoded as the operators wrote it."""
+    """A config, encoded as the operators wrote it.
+
+    :param raw: the config; empty if the receiver has it.
+    :param number: number of the request; 0 if it did not request the age.
+    :param age_ms: age of what the sender knows, see :mod:`.config_age`; negative if it
+        knows nothing.
+    """
 
     version: int
     raw: bytes
+    number: int = 0
+    age_ms: int = -1
 
 
 class LoadRequest(msgspec.Struct, tag=9, array_like=True):
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
@@ -132,7 +132,9 @@
     def handle_config(self, reply: frames.ConfigReply) -> None:
         """Does nothing."""
 
-    def get_config(self) -> data.Config | None:
+    def build_config_reply(
+        self, request: frames.ConfigRequest
+    ) -> frames.ConfigReply | None:
         """Returns no config."""
         return None
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_observer.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_observer.py
@@ -3,7 +3,6 @@
 import abc
 from typing import TYPE_CHECKING
 
-from .. import data
 from . import frames
 
 if TYPE_CHECKING:
@@ -26,8 +25,10 @@
         """Handles a config that a peer sent."""
 
     @abc.abstractmethod
-    def get_config(self) -> data.Config | None:
-        """Returns the config in force, to be sent to peers."""
+    def build_config_reply(
+        self, request: frames.ConfigRequest
+    ) -> frames.ConfigReply | None:
+        """Builds the reply to a request for the config; None if there is none."""
 
     @abc.abstractmethod
     def build_state(self) -> frames.NodeState:
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -75,7 +75,7 @@
             elif type(message) is frames.LoadRequest:
                 self.send(self._server.observer.build_load_report())
             elif type(message) is frames.ConfigRequest:
-                self._send_config(message.version)
+                self._send_config(message)
             elif type(message) is frames.QuotaRequest:
                 self._handle_quota_request(message)
 
@@ -151,10 +151,10 @@
         if execution.on_complete is not None:
             self._executions[number] = execution
 
-    def _send_config(self, version: int) -> None:
-        config = self._server.observer.get_config()
-        if config is not None and config.version > version:
-            self.send(frames.ConfigReply(config.version, config.raw))
+    def _send_config(self, request: frames.ConfigRequest) -> None:
+        reply = self._server.observer.build_config_reply(request)
+        if reply is not None:
+            self.send(reply)
 
 
 class PeerServer:
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/store_watcher.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/store_watcher.py
@@ -18,6 +18,7 @@
 from .. import data, interfaces
 from ..routing import call_graph
 from ..telemetry import events
+from . import config_age
 
 # A store that was restored may leave a poll of the former store waiting.
 CONFIG_POLL_TIMEOUT_S = 6.0
@@ -38,6 +39,10 @@
 Result = TypeVar("Result")
 
 
+def ignore_read(began_at: float) -> None:
+    """Does nothing."""
+
+
 class StoredBlock(NamedTuple):
     """A request that is not run because it crashed endpoints.
 
@@ -84,6 +89,8 @@
     :param keeps_call_graph: returns whether this node is one of the few that write new
         edges of the call graph.
     :param on_restore: called when the store is known to have been restored.
+    :ivar on_config_read: called after each successful read of the config with the time
+        of :func:`.config_age.read_clock` at which it began, in seconds.
     :ivar store_calls: number of calls by kind and result, for the metrics.
     :ivar nodes_listed: whether the node records were read, or could not be read while
         this node already has peers.
@@ -117,6 +124,10 @@
         self._has_peers = has_peers
         self._keeps_call_graph = keeps_call_graph
         self._on_restore = on_restore
+        self._max_wait_s = CONFIG_POLL_TIMEOUT_S
+        if settings.max_key_age_s is not None:
+            strict_wait_s = config_age.STORE_WAIT_RATIO * settings.max_key_age_s
+            self._max_wait_s = min(CONFIG_POLL_TIMEOUT_S, strict_wait_s)
         self._store_unreachable = False
         self._config_reachable = False
         self._restore_count: int | None = None
@@ -129,6 +140,7 @@
         self._reading_enabled.set()
         self._written_edges: set[tuple[str, str, str]] = set()
         self.store_calls: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.on_config_read: Callable[[float], None] = ignore_read
         self.nodes_listed = False
         self.local_edges: tuple[call_graph.Edge, ...] = ()
         self.tombstones: dict[str, int] = {}
@@ -165,6 +177,7 @@
                 await self._reading_enabled.wait()
                 delay_s = MIN_BACKOFF_S
             reads_newest = not self._offset_is_valid
+            began_at = config_age.read_clock()
             try:
                 if reads_newest:
                     self._offset_is_valid = True
@@ -177,6 +190,9 @@
                     self._apply_config(record.value, "store")
                 self._record_call("config", None)
                 self._config_reachable = True
+                if self._offset_is_valid:
+                    # Otherwise the store was restored during the read.
+                    self.on_config_read(began_at)
                 if not reads_newest:
                     delay_s = MIN_BACKOFF_S
                 await asyncio.sleep(wait_s)
@@ -221,7 +237,7 @@
 
         :returns: the newest one, or None.
         """
-        wait_s = CONFIG_POLL_TIMEOUT_S * self._rng.uniform(0.7, 1.3)
+        wait_s = self._max_wait_s * self._rng.uniform(0.7, 1.3)
         self._poll = asyncio.ensure_future(self._store.wait_for_config(offset, wait_s))
         try:
             await asyncio.wait({self._poll})
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -20,13 +20,7 @@
     store_watcher,
 )
 from .quotas import quota_sync
-from .routing import (
-    call_graph,
-    edge_sync,
-    endpoint_directory,
-    forwarder,
-    subsetting,
-)
+from .routing import call_graph, edge_sync, endpoint_directory, forwarder, subsetting
 from .serving import (
     announcements,
     endpoint_pool,
@@ -108,7 +102,7 @@
             settings.service, settings.heartbeat_s
         )
         self._config_sync = config_sync.ConfigSync(
-            settings.inbound,
+            settings,
             self._store_watcher,
             self._peers,
             self._rng,
@@ -173,6 +167,7 @@
             self._graph,
             self._crash_reporter.history,
             self._quotas,
+            lambda: self._config_sync.is_current,
             log,
             self.metrics,
             self._rng,
@@ -264,7 +259,9 @@
 
     def handle_config(self, reply: frames.ConfigReply) -> None:
         """Applies a config that a peer sent."""
-        self._apply_config(reply.raw, "peer")
+        if reply.raw:
+            self._apply_config(reply.raw, "peer")
+        self._config_sync.handle_reply(reply, self._config_version)
 
     def handle_crash_report(self, message: frames.CrashReport) -> None:
         """Adds what a peer knows about crashes of endpoints."""
@@ -296,9 +293,11 @@
         self._peer_server.send_crash_message(message, service)
         self._broadcast_state()
 
-    def get_config(self) -> data.Config | None:
-        """Returns the config in force."""
-        return self._config
+    def build_config_reply(
+        self, request: frames.ConfigRequest
+    ) -> frames.ConfigReply | None:
+        """Builds the reply to a peer's request for the config."""
+        return self._config_sync.build_reply(request, self._config)
 
     def build_state(self) -> frames.NodeState:
         """Builds the node state to send to peers."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/authentication.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/authentication.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+from collections.abc import Callable
 from typing import NamedTuple
 
 from .. import data
@@ -14,6 +15,8 @@
 from ..ingress import http1
 from . import call_graph
 
+IsCurrent = Callable[[], bool]
+
 
 class Decision(enum.Enum):
     """Whether a request is handled."""
@@ -21,6 +24,12 @@
     ACCEPT = "accept"
     UNAUTHORIZED = "unauthorized"
     PARENT_ENDED = "parent_ended"
+    KEYS_OUTDATED = "keys_outdated"
+
+    @property
+    def reason(self) -> data.RefusalReason:
+        """Why the request is refused with status 503."""
+        return data.RefusalReason(self.value)
 
 
 class Identity(NamedTuple):
@@ -43,6 +52,8 @@
 
     :param running_requests: requests that run at the local endpoint.
     :param started_at: time of the event loop when the process started, in seconds.
+    :param is_current: returns whether keys that are in force here may be honoured; if
+        not, some of them may have been withdrawn, and others added.
     """
 
     def __init__(
@@ -51,11 +62,13 @@
         running_requests: call_graph.RunningRequestIndex,
         graph: call_graph.CallGraph,
         started_at: float,
+        is_current: IsCurrent,
     ) -> None:
         self._header_names = header_names
         self._running_requests = running_requests
         self._graph = graph
         self._started_at = started_at
+        self._is_current = is_current
         self._keys: credentials.KeyTable | None = None
         self._customers: dict[str, data.Customer] = {}
         self._longest_timeout_s = 0.0
@@ -93,6 +106,10 @@
             return Identity(Decision.ACCEPT, None, parent, is_nested_call)
         values = request.get_headers(self._header_names.credentials)
         if values:
+            if not self._is_current():
+                is_public = route.public
+                decision = Decision.ACCEPT if is_public else Decision.KEYS_OUTDATED
+                return Identity(decision)
             customer = self._keys.find(values[0]) if len(values) == 1 else None
             if customer is not None or route.public:
                 return Identity(Decision.ACCEPT, customer)
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/authentication_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/authentication_test.py
@@ -27,12 +27,12 @@
 class Setup:
     """Authenticator with one customer, started at time 0."""
 
-    def __init__(self, *customers: data.Customer) -> None:
+    def __init__(self, *customers: data.Customer, is_current: bool = True) -> None:
         self.running = call_graph.RunningRequestIndex()
         graph = call_graph.CallGraph()
         graph.merge_edges([call_graph.Edge("root", "callee", "pay", 2.0)])
         self.authenticator = authentication.Authenticator(
-            NAMES, self.running, graph, 0.0
+            NAMES, self.running, graph, 0.0, lambda: is_current
         )
         routes = (ROOT_ROUTE, CALLEE_ROUTE, PUBLIC_ROUTE)
         limits = data.ClientLimits(1000, 1000, 1.0, 1.0)
@@ -115,3 +115,25 @@
         assert identity.decision is authentication.Decision.PARENT_ENDED
         root = Setup(CUSTOMER).identify(ROOT_ROUTE, b"r1.c1", now=TIMEOUT_S - 0.1)
         assert root.decision is authentication.Decision.UNAUTHORIZED
+
+
+class TestOutdatedKeys:
+    """A node that cannot know which keys were withdrawn honours none of them."""
+
+    def test_no_key_is_honoured_or_called_unknown(self) -> None:
+        setup = Setup(CUSTOMER, is_current=False)
+        for key in (b"Token k1", b"Token k2"):
+            identity = setup.identify(ROOT_ROUTE, b"r1", key)
+            assert identity.decision is authentication.Decision.KEYS_OUTDATED
+            assert identity.decision.reason is data.RefusalReason.KEYS_OUTDATED
+
+    def test_public_routes_are_served_without_a_customer(self) -> None:
+        setup = Setup(CUSTOMER, is_current=False)
+        identity = setup.identify(PUBLIC_ROUTE, b"r1", b"Token k1")
+        assert identity.decision is authentication.Decision.ACCEPT
+        assert identity.customer is None
+
+    def test_missing_key_is_still_unauthorized(self) -> None:
+        setup = Setup(CUSTOMER, is_current=False)
+        identity = setup.identify(ROOT_ROUTE, b"r1")
+        assert identity.decision is authentication.Decision.UNAUTHORIZED
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -48,6 +48,7 @@
     :param graph: call graph of the routes.
     :param history: requests that may crash endpoints.
     :param quotas: quotas of the customers.
+    :param is_current: returns whether keys that are in force here may be honoured.
     :ivar stopping: whether root requests are refused because the node stops.
     """
 
@@ -61,6 +62,7 @@
         graph: call_graph.CallGraph,
         history: crash_history.CrashHistory,
         quotas: quota_sync.QuotaSync,
+        is_current: authentication.IsCurrent,
         log: events.EventLog,
         node_metrics: metrics.Metrics,
         rng: random.Random,
@@ -83,7 +85,7 @@
             header_names, settings.service
         )
         self._authenticator = authentication.Authenticator(
-            header_names, endpoint.running_requests, graph, loop.time()
+            header_names, endpoint.running_requests, graph, loop.time(), is_current
         )
         self._retry_policy = retry_policy.RetryPolicy(settings, graph)
         self._quota_gate = quota_gate.QuotaGate(quotas, self._admit, self._send_refusal)
@@ -153,8 +155,8 @@
             return
         pending.service = self._route_table.pick_service(route)
         self._apply_identity(pending, identity, now)
-        if identity.decision is authentication.Decision.PARENT_ENDED:
-            self._send_refusal(pending, data.RefusalReason.PARENT_ENDED)
+        if identity.decision is not authentication.Decision.ACCEPT:
+            self._send_refusal(pending, identity.decision.reason)
             return
         if now >= pending.expires_at:
             self._send_refusal(pending, data.RefusalReason.TIMEOUT)
