Operators see customers: who is in force, who is refused and why

New commands: catkintiller customers show (quotas, digits of key digests, use at some nodes) and customers refused (reasons, admitted shares). Lines of refusals tell the customer, and its quota with the age of the data if that is the reason; trace explains it. A refusal is logged before its token is returned, since the ticket holds the reason.

--- a/packages/catkintiller-operator/src/catkintiller_operator/main.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/main.py
@@ -12,6 +12,7 @@
 
 from . import (
     config_queries,
+    customer_queries,
     exit_codes,
     metrics,
     node_commands,
@@ -230,6 +231,39 @@
     exit_codes.run_and_exit(lambda: metrics.show_metrics(address, word, json))
 
 
+def customers_show(
+    *nodes: str,
+    store: str = DEFAULT_STORE_ADDRESS,
+    interval: float = 1.0,
+    json: bool = False,
+) -> None:
+    """Show the customers in force: quotas, digests of keys, and use at some nodes.
+
+    :param nodes: addresses of the nodes' metrics, as IP:PORT.
+    :param store: address of the store.
+    :param interval: seconds over which the use is measured.
+    :param json: print JSON.
+    """
+    exit_codes.run_and_exit(
+        lambda: customer_queries.show_customers(store, list(nodes), interval, json)
+    )
+
+
+def customers_refused(
+    *nodes: str, customer: str = "", interval: float = 1.0, json: bool = False
+) -> None:
+    """Show whose requests some nodes refuse, and why. Exit code 1 if any are.
+
+    :param nodes: addresses of the nodes' metrics, as IP:PORT.
+    :param customer: show this customer only.
+    :param interval: seconds over which refusals are counted.
+    :param json: print JSON.
+    """
+    exit_codes.run_and_exit(
+        lambda: customer_queries.show_refusals(list(nodes), customer, interval, json)
+    )
+
+
 def main() -> None:
     """Runs the command that the arguments name."""
     settings_subcommands = {
@@ -249,6 +283,7 @@
                 "explain": config_explain,
                 "diff": config_diff,
             },
+            "customers": {"show": customers_show, "refused": customers_refused},
             "figures": show_node_metrics,
             "status": status,
             "watch": watch,
--- a/packages/catkintiller-operator/src/catkintiller_operator/request_trace.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/request_trace.py
@@ -23,6 +23,10 @@
     "node_lost": "the node beside the endpoint became unresponsive or disconnected",
     "stopping": "the node was about to stop",
     "blocked": "it is blocked, because endpoints crashed each time that it ran",
+    "parent_ended": "the request that it would belong to does not run at this node",
+    "quota_exceeded": "its customer had used up its quota",
+    "quota_unknown": "the coordinator of the quotas could not tell whether it may run",
+    "keys_outdated": "the node could not know whether its key had been withdrawn",
     "suspect": "it ran when an endpoint crashed, and too few endpoints are left",
 }
 NO_RETRY_CAUSE = {
@@ -104,7 +108,7 @@
     last = events[-1].fields
     reason = str(last.get("reason") or "")
     if reason:
-        cause = CAUSE_BY_REASON.get(reason, reason)
+        cause = CAUSE_BY_REASON.get(reason, reason) + describe_quota(last)
         no_retry = describe_missing_retry(events)
         return f"{cause}; no retry: {no_retry}" if no_retry else cause
     status = last.get("status")
@@ -113,6 +117,18 @@
     return "the request was answered"
 
 
+def describe_quota(fields: dict[str, object]) -> str:
+    """Describes the customer and quota of a refusal; empty if it is not by quota."""
+    if "rate" not in fields:
+        return ""
+    text = (
+        f": customer {fields.get('customer')}, {fields['rate']} per second"
+        f" with a burst of {fields.get('burst')}"
+    )
+    age_ms = fields.get("age_ms")
+    return text if age_ms is None else f"{text}, as reported {age_ms} ms before"
+
+
 def describe_missing_retry(events: list[Event]) -> str:
     """Describes why no retry followed the last attempt; empty if not known."""
     for event in reversed(events):
--- a/packages/catkintiller-operator/src/catkintiller_operator/request_trace_test.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/request_trace_test.py
@@ -35,6 +35,17 @@
         ("fields", "description"),
         [
             ({"reason": "chain_overloaded"}, "downstream service of its call graph"),
+            (
+                {
+                    "reason": "quota_exceeded",
+                    "customer": "north",
+                    "rate": 5.0,
+                    "burst": 2.0,
+                    "age_ms": 40,
+                },
+                "its quota: customer north, 5.0 per second with a burst of 2.0, "
+                "as reported 40 ms before",
+            ),
             ({"status": 500}, "endpoint itself responded with status 500"),
             ({"status": 200}, "the request was answered"),
         ],
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -185,6 +185,7 @@
             self._local_endpoint,
             lambda: self.ready,
             self._get_gauge_values,
+            self._forwarder,
         )
         self._readiness_server = self._create_server(pages.handle_readiness)
         self._metrics_server = self._create_server(pages.handle_metrics)
--- a/packages/catkintiller-relay/src/catkintiller_relay/quotas/customer_account.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/quotas/customer_account.py
@@ -21,10 +21,13 @@
 
     :param reason: whether no token is left or that is not known.
     :param retry_after_s: time after which the client may try again, in seconds.
+    :param data_age_s: age of the coordinator's report that it is based on, in seconds;
+        None without one.
     """
 
     reason: data.RefusalReason
     retry_after_s: float
+    data_age_s: float | None = None
 
 
 class Ticket:
--- a/packages/catkintiller-relay/src/catkintiller_relay/quotas/quota_client.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/quotas/quota_client.py
@@ -261,13 +261,14 @@
             # An earlier decision may have cancelled it.
             if ticket in account.waiting:
                 del account.waiting[ticket]
-                ticket.refusal = self._build_refusal(account, ticket)
+                ticket.refusal = self._build_refusal(account, ticket, now)
                 ticket.on_decision(ticket)
 
     def _build_refusal(
         self,
         account: customer_account.CustomerAccount,
         ticket: customer_account.Ticket,
+        now: float,
     ) -> customer_account.Refusal:
         shortage = account.shortage
         if (
@@ -284,4 +285,5 @@
         return customer_account.Refusal(
             data.RefusalReason.QUOTA_EXCEEDED,
             shortage.retry_after_s * spread + jitter_s,
+            now - shortage.reported_at,
         )
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -14,7 +14,7 @@
 from ..membership import frames
 from ..quotas import quota_sync
 from ..serving import local_endpoint
-from ..telemetry import events, metrics
+from ..telemetry import customer_counts, events, metrics
 from . import (
     admission,
     authentication,
@@ -49,6 +49,7 @@
     :param history: requests that may crash endpoints.
     :param quotas: quotas of the customers.
     :param is_current: returns whether keys that are in force here may be honoured.
+    :ivar customer_counts: results of the requests of each customer.
     :ivar stopping: whether root requests are refused because the node stops.
     """
 
@@ -76,8 +77,9 @@
         self._graph = graph
         self._history = history
         self._metrics = node_metrics
+        self.customer_counts = customer_counts.CustomerCounts()
         self._request_log = request_log.RequestLog(
-            loop, log, node_metrics, self.admission
+            loop, log, node_metrics, self.admission, self.customer_counts
         )
         self._rng = rng
         self._route_table: route_table.RouteTable | None = None
@@ -102,6 +104,7 @@
         """Applies a config."""
         self._route_table = route_table.RouteTable(config)
         self._authenticator.set_config(config)
+        self.customer_counts.set_customers(config.customers)
         self._retry_policy.set_config(config)
         self._request_log.config_version = config.version
 
@@ -428,8 +431,8 @@
         retry_after_s = retry_after.compute_retry_after_s(
             pending, reason, self._loop.time(), self._history, self._rng
         )
-        self._quota_gate.refund(pending)
         self._record_own_response(pending, status, reason)
+        self._quota_gate.refund(pending)
         header = b"Retry-After: %.3f\r\n" % retry_after_s
         pending.connection.send_status(status, header)
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/request_log.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/request_log.py
@@ -5,7 +5,7 @@
 from .. import data
 from ..crashes import fingerprint
 from ..serving import local_endpoint
-from ..telemetry import events, metrics
+from ..telemetry import customer_counts, events, metrics
 from . import admission, pending_request
 
 REFUSAL_STATUSES = (429, 503)
@@ -15,6 +15,7 @@
     """Log lines and counters of requests.
 
     :param admission_control: what it admits is written with each refusal.
+    :param counts: results of the requests of each customer.
     :ivar config_version: version of the config in force, written on each line.
     """
 
@@ -24,11 +25,13 @@
         log: events.EventLog,
         node_metrics: metrics.Metrics,
         admission_control: admission.AdmissionController,
+        counts: customer_counts.CustomerCounts,
     ) -> None:
         self._loop = loop
         self._log = log
         self._metrics = node_metrics
         self._admission = admission_control
+        self._customer_counts = counts
         self.config_version = 0
 
     def record_response(
@@ -40,6 +43,7 @@
         """
         elapsed_s = self._loop.time() - pending.head_received_at
         route = pending.route.name
+        self._count_result(pending, customer_counts.ANSWERED)
         self._metrics.record_latency("answer", f'route="{route}"', elapsed_s)
         self._metrics.count("answers", f'route="{route}",status="{status}"')
         if not self._log.reserve_line("route", failure=status >= 500):
@@ -73,6 +77,7 @@
         self._metrics.count(
             "own_answers", f'route="{route}",status="{status}",reason="{reason_value}"'
         )
+        self._count_result(pending, reason_value)
         if not self._log.reserve_line("route", failure=True, reason=reason_value):
             return
         crash_fields: dict[str, object] = {}
@@ -96,8 +101,15 @@
             version=self.config_version,
             shares=self._admission.get_admitted_shares(),
             **crash_fields,
+            **_build_customer_fields(pending),
         )
 
+    def _count_result(
+        self, pending: pending_request.PendingRequest, result: str
+    ) -> None:
+        if pending.customer is not None and not pending.is_nested_call:
+            self._customer_counts.count(pending.customer, result)
+
     def record_attempt_failure(
         self,
         pending: pending_request.PendingRequest,
@@ -152,3 +164,22 @@
                 id=pending.request_id.decode("latin-1"),
                 at=node,
             )
+
+
+def _build_customer_fields(
+    pending: pending_request.PendingRequest,
+) -> dict[str, object]:
+    """Builds the fields of a log line that tell the customer and its quota.
+
+    The quota is written only if it is the reason of a refusal.
+    """
+    customer, ticket = pending.customer, pending.quota_ticket
+    if customer is None:
+        return {}
+    fields: dict[str, object] = {"customer": customer.name}
+    if ticket is not None and ticket.refusal is not None:
+        fields["rate"] = customer.rate_per_s
+        fields["burst"] = customer.burst
+        age_s = ticket.refusal.data_age_s
+        fields["age_ms"] = None if age_s is None else round(age_s * 1000)
+    return fields
--- a/packages/catkintiller-relay/src/catkintiller_relay/telemetry/status_pages.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/telemetry/status_pages.py
@@ -1,13 +1,20 @@
 """Responds to the platform's readiness probe and to requests for the metrics."""
 
+import urllib.parse
 from collections.abc import Callable
 
+import msgspec
+
 from .. import interfaces
 from ..ingress import http1
 from ..membership import peer_set
+from ..routing import forwarder
 from ..serving import local_endpoint
 from . import gauges, metrics
 
+CUSTOMERS_PATH = "/customers"
+JSON_HEADERS = b"Content-Type: application/json\r\n"
+
 
 class StatusPages:
     """What a node tells about itself over HTTP.
@@ -17,6 +24,7 @@
     :param endpoint: endpoint beside the node.
     :param is_ready: returns whether the node is ready for requests of clients.
     :param get_gauge_values: returns the gauges that the node itself provides.
+    :param requests: forwards the requests that arrive at this node.
     """
 
     def __init__(
@@ -27,6 +35,7 @@
         endpoint: local_endpoint.LocalEndpoint,
         is_ready: Callable[[], bool],
         get_gauge_values: Callable[[], gauges.GaugeValues],
+        requests: forwarder.Forwarder,
     ) -> None:
         self._platform = platform
         self._metrics = node_metrics
@@ -34,6 +43,7 @@
         self._local_endpoint = endpoint
         self._is_ready = is_ready
         self._get_gauge_values = get_gauge_values
+        self._requests = requests
 
     def handle_readiness(
         self, connection: http1.ServerConnection, request: http1.Request
@@ -49,11 +59,38 @@
     def handle_metrics(
         self, connection: http1.ServerConnection, request: http1.Request
     ) -> None:
-        """Responds with the metrics, whatever the path."""
+        """Responds with the metrics, or with what becomes of customers' requests.
+
+        The metrics are sent whatever the path is, except for that of the customers.
+        """
+        url = urllib.parse.urlsplit(request.target.decode("latin-1"))
+        if url.path == CUSTOMERS_PATH:
+            name = urllib.parse.parse_qs(url.query).get("name", [""])[0]
+            body = self._encode_customers(name)
+            connection.send_status(200, JSON_HEADERS, body)
+            return
         gauges.set_gauges(
             self._metrics,
             self._get_gauge_values(),
             list(self._peers.peers.values()),
             self._local_endpoint,
         )
-        connection.send_status(200, body=self._metrics.format_text().encode())
+        text = self._metrics.format_text()
+        text += self._requests.customer_counts.format_text()
+        connection.send_status(200, body=text.encode())
+
+    def _encode_customers(self, name: str) -> bytes:
+        """Encodes the results of requests by customer as a JSON document.
+
+        :param name: the only customer to be included; empty for all.
+        """
+        values = self._get_gauge_values()
+        return msgspec.json.encode(
+            {
+                "version": values.config_version,
+                "coordinator": values.is_quota_coordinator,
+                "followers": values.quota_follower_count,
+                "shares": self._requests.admission.get_admitted_shares(),
+                "customers": self._requests.customer_counts.get_counts(name),
+            }
+        )
