Call graph: the cost of downstream calls no longer grows with the number of paths

Cause: downstream calls were summed over every path of up to 17 calls. Calls of a running request can be attributed to a sibling of it (both share the root ID), which gives edges between callees in both directions; three routes that call each other took 292 ms, and four did not end within 20 s, while the event loop stood still. Change: the calls are added up for each callee at each level of depth; the sums are the same up to rounding. Test: twelve routes that call each other.

--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
@@ -255,24 +255,27 @@
         """Returns the mean number of downstream calls, by service and callee."""
         downstream_routes = self._downstream_routes.get(route)
         if downstream_routes is None:
-            downstream_routes = self._compute_downstream_routes(route, 0)
+            downstream_routes = self._compute_downstream_routes(route)
             self._downstream_routes[route] = downstream_routes
         return downstream_routes
 
-    def _compute_downstream_routes(
-        self, route: str, depth: int
-    ) -> dict[tuple[str, str], float]:
+    def _compute_downstream_routes(self, route: str) -> dict[tuple[str, str], float]:
+        """Sums the calls of all paths from a route, one level of calls after another.
+
+        The number of paths grows exponentially with their length where routes call each
+        other, so the paths that lead to the same callee are added up at each level.
+        """
         downstream: dict[tuple[str, str], float] = {}
-        if depth > MAX_CALL_DEPTH:
-            return downstream
-        for edge in self._edges.values():
-            if edge.route != route:
-                continue
-            key = (edge.service, edge.callee)
-            downstream[key] = downstream.get(key, 0.0) + edge.calls
-            for nested_key, calls in self._compute_downstream_routes(
-                edge.callee, depth + 1
-            ).items():
-                nested_calls = edge.calls * calls
-                downstream[nested_key] = downstream.get(nested_key, 0.0) + nested_calls
+        calls_by_route = {route: 1.0}
+        for _ in range(MAX_CALL_DEPTH + 1):
+            next_calls: dict[str, float] = {}
+            for edge in self._edges.values():
+                calls = edge.calls * calls_by_route.get(edge.route, 0.0)
+                if calls:
+                    key = (edge.service, edge.callee)
+                    downstream[key] = downstream.get(key, 0.0) + calls
+                    next_calls[edge.callee] = next_calls.get(edge.callee, 0.0) + calls
+            if not next_calls:
+                break
+            calls_by_route = next_calls
         return downstream
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph_test.py
@@ -67,5 +67,22 @@
         )
         assert graph.get_downstream_calls("a")["s"] < 1.0
 
+    def test_routes_that_call_each_other(self) -> None:
+        """Guards against a time that grows exponentially with the depth of calls.
+
+        With a visit of each path, this test would not end.
+        """
+        routes = [f"r{number}" for number in range(12)]
+        graph = call_graph.CallGraph()
+        graph.merge_edges(
+            [
+                call_graph.Edge(route, callee, "s", 0.05)
+                for route in routes
+                for callee in routes
+            ]
+        )
+        expected = sum(0.6**depth for depth in range(1, call_graph.MAX_CALL_DEPTH + 2))
+        assert graph.get_downstream_calls("r0")["s"] == pytest.approx(expected)
+
     def test_unknown_route_has_no_downstream_calls(self) -> None:
         assert call_graph.CallGraph().get_downstream_calls("none") == {}
