--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
@@ -184,7 +184,9 @@
         request.head_received_at = self._server.loop.time()
         request.keep_alive = parser.should_keep_alive()
         self._partial_request = request
-        header_bytes = sum(len(name) + len(value) + 4 for name, value in self._headers)
+        header_bytes = 0
+        for name, value in self._headers:
+            header_bytes += len(name) + len(value) + 4
         if header_bytes + len(self._target) > self._server.limits.max_header_bytes:
             self.reject(431)
             return
@@ -401,13 +403,16 @@
     Conflicting length headers could be used for request smuggling. Exactly one Host
     header is required as well.
     """
-    content_lengths = [value for name, value in headers if name == b"content-length"]
-    transfer_encodings = [
-        value for name, value in headers if name == b"transfer-encoding"
-    ]
-    hosts = [value for name, value in headers if name == b"host"]
-    if len(hosts) != 1 or len(content_lengths) + len(transfer_encodings) > 1:
-        return False
-    if content_lengths and not content_lengths[0].isdigit():
-        return False
-    return not transfer_encodings or transfer_encodings[0].strip().lower() == b"chunked"
+    host_count = length_count = 0
+    for name, value in headers:
+        if name == b"host":
+            host_count += 1
+        elif name == b"content-length":
+            length_count += 1
+            if not value.isdigit():
+                return False
+        elif name == b"transfer-encoding":
+            length_count += 1
+            if value.strip().lower() != b"chunked":
+                return False
+    return host_count == 1 and length_count <= 1
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
@@ -295,25 +295,27 @@
         :raises data.DecodeError: if a frame is too long or is not a message of this
             protocol.
         """
-        buffer = self._buffer
-        buffer += received
+        source: bytes | bytearray = received
+        if self._buffer:
+            source = self._buffer
+            source += received
         messages = []
         position = 0
-        size = len(buffer)
+        size = len(source)
         while size - position >= 4:
-            (length,) = _LENGTH.unpack_from(buffer, position)
+            (length,) = _LENGTH.unpack_from(source, position)
             if length > MAX_FRAME_BYTES:
                 raise data.DecodeError(f"frame is too long: {length} bytes")
             end = position + 4 + length
             if size < end:
                 break
-            with memoryview(buffer) as view:
-                payload = bytes(view[position + 4 : end])
             try:
-                messages.append(_decoder.decode(payload))
+                messages.append(_decoder.decode(source[position + 4 : end]))
             except msgspec.MsgspecError as error:
                 raise data.DecodeError(str(error)) from error
             position = end
-        if position:
-            del buffer[:position]
+        if source is received:
+            self._buffer += received[position:]
+        elif position:
+            del self._buffer[:position]
         return messages
