Request path and ticks: fewer repeated checks and copies

Cause: for each candidate the connection was checked twice and a lame duck asked for again; the end of each run looked for queued requests without any; response headers were put into a dict twice; each report was subtracted and added in full; the demand keys were searched in a list ten times a second. Change: these checks are made once or skipped where there is nothing to do; only changed figures of a report are applied; known demand keys are also kept in a set.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -337,7 +337,10 @@
     def is_suspect(self, now: float) -> bool:
         """Returns whether the peer is not connected or does not reply to a probe."""
         connection = self._connection
-        return connection is None or connection.get_unanswered_s(now) > SUSPECT_AFTER_S
+        if connection is None:
+            return True
+        probed_at = connection.probed_at
+        return probed_at is not None and now - probed_at > SUSPECT_AFTER_S
 
     def update_load(self, load: int, service_time_us: int) -> None:
         """Sets the load of the peer's endpoint, as the peer reported it.
@@ -419,12 +422,8 @@
         connection = self._connection
         if connection is not None:
             self._check_responsiveness(connection, now)
-        for replaced in list(self._replaced_connections):
-            if (
-                now - replaced.last_received_at > ABORT_AFTER_S
-                or not replaced.outstanding
-            ):
-                replaced.abort()
+        if self._replaced_connections:
+            self._abort_replaced(now)
         if (
             self._connection is None
             and not self._connecting
@@ -435,6 +434,14 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    def _abort_replaced(self, now: float) -> None:
+        for replaced in list(self._replaced_connections):
+            if (
+                now - replaced.last_received_at > ABORT_AFTER_S
+                or not replaced.outstanding
+            ):
+                replaced.abort()
+
     def _check_responsiveness(self, connection: OutgoingConnection, now: float) -> None:
         silence_s = now - connection.last_received_at
         probe_after_s = self.report_interval_s + IDLE_PROBE_MARGIN_S
@@ -442,6 +449,8 @@
             probe_after_s = min(probe_after_s, BUSY_PROBE_AFTER_S)
         if silence_s > probe_after_s:
             connection.probe(now)
+        if connection.probed_at is None:
+            return
         unanswered_s = connection.get_unanswered_s(now)
         if unanswered_s > UNRESPONSIVE_AFTER_S:
             # Results may still arrive on it, but no new requests are sent there.
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/coordinator_order.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/coordinator_order.py
@@ -57,7 +57,7 @@
     def update_presence(self, peer: connections.Peer) -> None:
         """Counts a peer while it is connected, and until then if it has not stopped."""
         if peer.unreachable_since is None:
-            if peer.connected:
+            if peer.address in self._absent and peer.connected:
                 self._absent.discard(peer.address)
         elif peer.announced_stop:
             self._absent.add(peer.address)
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set.py
@@ -234,13 +234,14 @@
     def _update_reachability(
         self, address: str, peer: connections.Peer, now: float
     ) -> None:
-        service = self._services.get(address, "")
         self.coordinator_order.update_presence(peer)
         unreachable_since = peer.unreachable_since
+        if unreachable_since is None and address not in self._unreachable:
+            return
+        service = self._services.get(address, "")
         if unreachable_since is None:
-            if address in self._unreachable:
-                self._unreachable.discard(address)
-                self._outdated_services.add(service)
+            self._unreachable.discard(address)
+            self._outdated_services.add(service)
             return
         if now - unreachable_since > REMOVE_AFTER_S:
             self._remove(address, service)
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
@@ -25,6 +25,7 @@
         self._shedders: dict[str, load_shedder.LoadShedder] = {}
         self._occupancies_s: dict[tuple[str, str], float] = {}
         self._required_slots: dict[tuple[str, str], dict[str, float]] = {}
+        self._known_demand_keys: set[tuple[str, int]] = set()
         self.demand_keys: list[tuple[str, int]] = []
 
     def update(self, now: float, elapsed_s: float) -> None:
@@ -87,8 +88,10 @@
     def _extend_demand_keys(self) -> None:
         for service, shedder in self._shedders.items():
             for rank in shedder.demand:
-                if (service, rank) not in self.demand_keys:
-                    self.demand_keys.append((service, rank))
+                key = (service, rank)
+                if key not in self._known_demand_keys:
+                    self._known_demand_keys.add(key)
+                    self.demand_keys.append(key)
 
     def _get_shedder(self, service: str) -> load_shedder.LoadShedder:
         shedder = self._shedders.get(service)
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
@@ -96,8 +96,9 @@
             )
         zone = self._settings.zone
         for address, peer in self._peers.get_service_peers(service).items():
-            if not peer.takes_requests or address in tried_nodes:
+            if address in tried_nodes or not peer.takes_requests:
                 continue
+            state = peer.state
             same_zone = peer.zone == zone
             group = suspects if peer.is_suspect(now) else candidates
             group.append(
@@ -106,12 +107,12 @@
                     peer.load + peer.sent_since_report,
                     peer.usable_slots,
                     peer.own_times_s.get(route),
-                    peer.lame_duck,
+                    state.lame_duck,
                     same_zone,
                     SAME_ZONE_ROUND_TRIP_S if same_zone else OTHER_ZONE_ROUND_TRIP_S,
                     self._get_failure_ratio(address, now),
                     now - peer.load_known_at,
-                    peer.state.rate_limit,
+                    state.rate_limit,
                 )
             )
         return candidates or suspects
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -274,12 +274,13 @@
         rejected it.
         """
         excluded = pending.tried_nodes
-        if pending.has_reached_all_endpoints:
+        has_reached_all = pending.has_reached_all_endpoints
+        if has_reached_all:
             excluded = pending.tried_nodes - pending.rejecting_nodes
         candidates = self._endpoints.get_candidates(
             pending.service, pending.route.name, excluded, now
         )
-        if not pending.has_reached_all_endpoints:
+        if not has_reached_all:
             return candidates
         return [each for each in candidates if each.node in pending.rejecting_nodes]
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/peer_demand.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/peer_demand.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 
 SlotDemand = Mapping[tuple[str, int], int]
+NO_DEMAND: SlotDemand = {}
 
 
 class DemandTotals:
@@ -37,19 +38,23 @@
         for address, report in reports.items():
             previous = previous_reports.get(address)
             if report is not previous:
-                if previous is not None:
-                    self._add(previous, -1)
-                self._add(report, 1)
+                self._replace(previous or NO_DEMAND, report)
         for address in previous_reports.keys() - reports.keys():
-            self._add(previous_reports[address], -1)
+            self._replace(previous_reports[address], NO_DEMAND)
 
-    def _add(self, report: SlotDemand, sign: int) -> None:
-        totals = self._totals
+    def _replace(self, previous: SlotDemand, report: SlotDemand) -> None:
         for key, slots in report.items():
-            if not slots:
-                continue
-            total = totals.get(key, 0) + sign * slots
-            if total:
-                totals[key] = total
-            else:
-                del totals[key]
+            change = slots - previous.get(key, 0)
+            if change:
+                self._add(key, change)
+        if previous.keys() != report.keys():
+            for key, slots in previous.items():
+                if slots and key not in report:
+                    self._add(key, -slots)
+
+    def _add(self, key: tuple[str, int], change: int) -> None:
+        total = self._totals.get(key, 0) + change
+        if total:
+            self._totals[key] = total
+        else:
+            del self._totals[key]
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/pending_request.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/pending_request.py
@@ -103,6 +103,8 @@
     @property
     def has_reached_all_endpoints(self) -> bool:
         """Whether it has been sent to as many endpoints as its route allows."""
+        if not self.reached_nodes:
+            return len(self.outstanding) >= self.max_attempts
         reached_count = len(self.reached_nodes | self.outstanding.keys())
         return reached_count >= self.max_attempts
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
@@ -188,6 +188,7 @@
     def on_message_begin(self) -> None:
         """Resets the parser state for a new response."""
         self._headers = []
+        self._values = {}
         self._reason_phrase = b""
         self._drop_body()
         self._in_message = True
@@ -202,13 +203,11 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Appends a header, or a trailer."""
         self._headers.append((name, value))
-        if self._head_complete:
-            self._values[name.lower()] = value
+        self._values[name.lower()] = value
 
     def on_headers_complete(self) -> None:
         """Passes on the notice in the head if the response is for the exchange."""
         self._head_complete = True
-        self._values = {name.lower(): value for name, value in self._headers}
         exchange = self._exchange
         if exchange is None or exchange.on_notice is None:
             return
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_queue.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_queue.py
@@ -90,6 +90,11 @@
         """Number of queued requests."""
         return len(self._heap) - len(self._removed_numbers)
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing is queued."""
+        return not self._heap
+
     @property
     def load(self) -> int:
         """Number of running and queued requests."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
@@ -411,8 +411,10 @@
         if execution.running_request is not None:
             self.running_requests.remove(execution.running_request)
         self.queue.release_slot(service_time_s)
-        self._run_queued()
-        self._run_waiting_suspects(self._loop.time())
+        if not self.queue.is_empty:
+            self._run_queued()
+        if self._suspect_runs.waiting_count:
+            self._run_waiting_suspects(self._loop.time())
 
     def _run_queued(self) -> None:
         """Starts queued attempts while slots and rate limit allow it."""
