Fair shares between customers: the core and its wiring

Cause: within a limited rank all requests were equally likely to be admitted, so a customer at many times its usual load took room from all others.

Change: each limited rank is divided between customers by water filling. A refusal by share has its own reason, log fields, trace text, gauge and a reserved time in Retry-After. The exchange also runs with customers that have no quota, while there is demand to report.

--- a/packages/catkintiller-operator/src/catkintiller_operator/request_trace.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/request_trace.py
@@ -11,6 +11,7 @@
     "no_endpoint": "no endpoint of the service accepted new requests",
     "overloaded": "the endpoint had more work than it could finish in time",
     "chain_overloaded": "a downstream service of its call graph was overloaded",
+    "share_exceeded": "its customer demanded more than its share of a service",
     "queue_timeout": "it waited too long for a slot of the endpoint",
     "no_memory": "the node held too many requests or bytes",
     "endpoint_refused": "the endpoint responded that it did not run the request",
@@ -105,6 +106,8 @@
     reason = str(last.get("reason") or "")
     if reason:
         cause = CAUSE_BY_REASON.get(reason, reason)
+        if reason == "share_exceeded":
+            cause += describe_share(last)
         no_retry = describe_missing_retry(events)
         return f"{cause}; no retry: {no_retry}" if no_retry else cause
     status = last.get("status")
@@ -113,6 +116,20 @@
     return "the request was answered"
 
 
+def describe_share(fields: dict[str, object]) -> str:
+    """Describes the figures behind a refusal by the share of a customer."""
+    age_ms = fields.get("sums_age_ms")
+    source = (
+        "decided by the arrivals at the node alone"
+        if age_ms is None
+        else f"decided by sums over all nodes, {age_ms} ms old"
+    )
+    return (
+        f": customer {fields.get('customer')}, rank {fields.get('rank')}, service "
+        f"{fields.get('limited_by')}, share {fields.get('share')}, {source}"
+    )
+
+
 def describe_missing_retry(events: list[Event]) -> str:
     """Describes why no retry followed the last attempt; empty if not known."""
     for event in reversed(events):
--- a/packages/catkintiller-relay/src/catkintiller_relay/data.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/data.py
@@ -252,6 +252,7 @@
     BLOCKED = "blocked"
     SUSPECT = "suspect"
     PARENT_ENDED = "parent_ended"
+    SHARE_EXCEEDED = "share_exceeded"
     QUOTA_EXCEEDED = "quota_exceeded"
     QUOTA_UNKNOWN = "quota_unknown"
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -20,13 +20,7 @@
     store_watcher,
 )
 from .quotas import quota_sync
-from .routing import (
-    call_graph,
-    edge_sync,
-    endpoint_directory,
-    forwarder,
-    subsetting,
-)
+from .routing import call_graph, edge_sync, endpoint_directory, forwarder, subsetting
 from .serving import (
     announcements,
     endpoint_pool,
@@ -35,6 +29,7 @@
     notice_handler,
     service_times,
 )
+from .shares import share_exchange
 from .telemetry import events, gauges, load_line, metrics, status_pages
 
 TICK_INTERVAL_S = 0.05
@@ -124,6 +119,9 @@
             lambda: self._store_watcher.nodes_listed,
             self._rng,
             log,
+            *share_exchange.build_hooks(
+                loop, lambda: self._forwarder.admission.customer_demand
+            ),
         )
         header_names = platform.header_names
         self._pool = endpoint_pool.EndpointConnectionPool(
@@ -350,6 +348,7 @@
             history.block_count,
             self._quotas.is_coordinator if self._quotas.enabled else None,
             self._quotas.follower_count,
+            self._forwarder.admission.get_customer_shares(),
         )
 
     def _handle_node_record(self, key: str, record: store_watcher.NodeRecord) -> None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/quotas/coordinator.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/quotas/coordinator.py
@@ -108,7 +108,7 @@
             int(now * 1000),
             len(self._leases),
             entries,
-            self._totals.get_totals(now),
+            self._totals.get_totals(now) if request.demand else [],
             request.number,
         )
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/quotas/quota_sync.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/quotas/quota_sync.py
@@ -28,17 +28,23 @@
     """Does nothing."""
 
 
+def has_no_demand() -> bool:
+    """Returns that there is no demand to report."""
+    return False
+
+
 class QuotaSync:
     """The quotas of one node, as a member and as a possible coordinator.
 
-    Without quotas in the config in force it sends nothing, but it still responds to
-    peers that have a newer config.
+    Without quotas in the config in force it sends messages only while there is demand
+    of customers to report. It always responds to peers that have a newer config.
 
     :param own_address: address where this node accepts connections of other nodes.
     :param is_listed: returns whether this node has read the list of members.
     :param get_demand: returns the demand to report to the coordinator.
     :param apply_totals: called with the sums of demand that the coordinator returns.
     :param totals: sums of the demand that followers of this node report.
+    :param has_demand: returns whether there is demand to report.
     """
 
     def __init__(
@@ -52,6 +58,7 @@
         get_demand: quota_client.GetDemand = quota_client.get_no_demand,
         apply_totals: ApplyTotals = ignore_totals,
         totals: demand_totals.DemandTotals | None = None,
+        has_demand: Callable[[], bool] = has_no_demand,
     ) -> None:
         self._loop = loop
         self._own_address = own_address
@@ -59,12 +66,14 @@
         self._is_listed = is_listed
         self._log = log
         self._apply_totals = apply_totals
+        self._has_demand = has_demand
         self._coordinator = coordinator.Coordinator(read_clock(), totals)
         self._client = quota_client.QuotaClient(
             own_address, self._send, rng, get_demand
         )
         self._timer: asyncio.TimerHandle | None = None
         self._enabled = False
+        self._has_customers = False
 
     @property
     def enabled(self) -> bool:
@@ -85,13 +94,14 @@
         """Applies a config."""
         now = read_clock()
         self._enabled = any(each.rate_per_s for each in config.customers)
-        self._peers.coordinator_order.enabled = self._enabled
+        self._has_customers = bool(config.customers)
+        self._peers.coordinator_order.enabled = self._has_customers
         self._coordinator.set_customers(now, config.customers)
         self._client.set_customers(now, config.customers)
 
     def tick(self) -> None:
         """Refuses requests that have waited too long and sends what is due."""
-        if self._enabled:
+        if self._enabled or (self._has_customers and self._has_demand()):
             self._client.tick(read_clock())
 
     def update_members(self, loop_time: float) -> None:
@@ -101,7 +111,7 @@
         """
         now = read_clock()
         self._coordinator.expire(now)
-        if not self._enabled:
+        if not self._has_customers:
             return
         order = self._peers.coordinator_order
         listed = self._is_listed()
@@ -151,7 +161,7 @@
         :param sender: address of the peer.
         """
         self._client.handle_reply(sender, reply, read_clock())
-        if sender == self._client.choice.coordinator:
+        if reply.demand and sender == self._client.choice.coordinator:
             self._apply_totals(reply.demand)
 
     def _send(self, address: str, request: frames.QuotaRequest) -> None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
@@ -1,9 +1,15 @@
 """Admission control of root requests by the capacity of all services they need."""
 
+import random
+from collections.abc import Hashable
+
 from .. import data
+from ..shares import demand_table, reservations, share_refusal
 from . import call_graph, endpoint_directory, load_shedder
 
 DEFAULT_OCCUPANCY_S = 0.03  # until the first request of a route was answered
+MIN_SLOT_S = 0.0001
+SHOWN_CUSTOMER_COUNT = 5  # on log lines and in metrics
 
 
 class AdmissionController:
@@ -11,6 +17,9 @@
 
     :param endpoints: endpoints with their capacity and demand.
     :param graph: call graph of the routes.
+    :param rng: source of the jitter.
+    :ivar customer_demand: demand by customer where it is limited.
+    :ivar has_customers: whether the config in force has customers.
     :ivar demand_keys: service and rank of each figure of :meth:`get_demand`; new ones
         are appended.
     """
@@ -19,14 +28,24 @@
         self,
         endpoints: endpoint_directory.EndpointDirectory,
         graph: call_graph.CallGraph,
+        rng: random.Random | None = None,
     ) -> None:
+        self._rng = rng or random.Random()
         self._endpoints = endpoints
         self._graph = graph
         self._shedders: dict[str, load_shedder.LoadShedder] = {}
         self._occupancies_s: dict[tuple[str, str], float] = {}
         self._required_slots: dict[tuple[str, str], dict[str, float]] = {}
+        self._reservations = reservations.ReservationBook(self._rng)
+        self.customer_demand = demand_table.DemandTable()
+        self.has_customers = False
         self.demand_keys: list[tuple[str, int]] = []
 
+    @property
+    def has_reservations(self) -> bool:
+        """Whether refused requests have been given a time to return."""
+        return not self._reservations.is_empty
+
     def update(self, now: float, elapsed_s: float) -> None:
         """Updates the share of root requests that is admitted for each service.
 
@@ -40,6 +59,16 @@
         for service, (slots, utilization) in self._endpoints.get_loads().items():
             shedder = self._get_shedder(service)
             shedder.update(elapsed_s, slots, utilization, peer_demand.get(service, {}))
+        if self.has_customers:
+            self._update_customers(now, elapsed_s)
+
+    def set_config(self, config: data.Config) -> None:
+        """Applies a config."""
+        self.has_customers = bool(config.customers)
+        if not self.has_customers:
+            self.customer_demand.clear()
+            for shedder in self._shedders.values():
+                shedder.update_customer_shares({})
 
     def get_admitted_shares(self) -> dict[str, dict[int, float]]:
         """Returns the admitted shares by service and rank, where they are limited."""
@@ -58,16 +87,109 @@
             for service, rank in self.demand_keys
         ]
 
-    def admit_request(self, route: data.Route, service: str, rank: int) -> bool:
+    def get_customer_shares(self) -> dict[str, dict[int, dict[str, float]]]:
+        """Returns the lowest shares of customers below 1, by service and rank.
+
+        All customers that are not named have one entry, without a name.
+        """
+        shares: dict[str, dict[int, dict[str, float]]] = {}
+        for service, shedder in self._shedders.items():
+            for rank, by_customer in shedder.customer_shares.items():
+                lowest = sorted(by_customer, key=lambda name: by_customer[name])
+                limited = {
+                    name: round(by_customer[name], 3)
+                    for name in lowest[:SHOWN_CUSTOMER_COUNT]
+                    if by_customer[name] < 1.0
+                }
+                if limited:
+                    shares.setdefault(service, {})[rank] = limited
+        return shares
+
+    def admit_request(
+        self,
+        route: data.Route,
+        service: str,
+        rank: int,
+        customer_name: str = "",
+        content: Hashable = None,
+        now: float = 0.0,
+    ) -> bool:
         """Counts a request as demand and decides whether it is admitted.
 
         :param service: service that the request itself is sent to.
         :param rank: importance of the request; 0 is the highest.
+        :param customer_name: name of its customer; empty without one.
+        :param content: what a request that returns is recognized by; None if it is not
+            one.
+        :param now: time of the event loop, in seconds; only used with ``content``.
         """
         required = self._get_required_slots(route.name, service)
         for name in required:
             self._get_shedder(name)
-        return load_shedder.admit_request(self._shedders, rank, required)
+        if not self.has_customers:
+            return load_shedder.admit_request(self._shedders, rank, required)
+        returns = content is not None and self._reservations.take(content, now)
+        return load_shedder.admit_request(
+            self._shedders,
+            rank,
+            required,
+            customer_name,
+            self.customer_demand,
+            returns=returns,
+        )
+
+    def refuse_by_share(
+        self,
+        route: data.Route,
+        service: str,
+        rank: int,
+        customer_name: str,
+        content: Hashable,
+        now: float,
+    ) -> share_refusal.ShareRefusal | None:
+        """Reserves a time for a request that was not admitted.
+
+        :param content: what the request is recognized by when it returns.
+        :param now: time of the event loop, in seconds.
+        :returns: None if its customer has no share of its own.
+        """
+        required = self._get_required_slots(route.name, service)
+        limiting = load_shedder.find_limiting_service(
+            self._shedders, rank, required, customer_name
+        )
+        view = self.customer_demand.get_view(limiting, rank, now)
+        shedder = self._shedders[limiting]
+        if not customer_name or rank not in shedder.customer_shares or view is None:
+            return None
+        share = shedder.get_share(rank, customer_name)
+        slots = self.customer_demand.get_own_slots(limiting, rank, customer_name)
+        admitted_per_s = share * slots / max(MIN_SLOT_S, required[limiting])
+        delay_s = self._reservations.reserve(
+            (limiting, rank, customer_name), content, admitted_per_s, now
+        )
+        return share_refusal.ShareRefusal(limiting, share, view.age_s, delay_s)
+
+    def _update_customers(self, now: float, elapsed_s: float) -> None:
+        """Updates the shares of customers in the limited ranks."""
+        table = self.customer_demand
+        table.update(elapsed_s)
+        table.set_limited(
+            [
+                (service, rank)
+                for service, shedder in self._shedders.items()
+                for rank in shedder.admitted_shares
+            ],
+            elapsed_s,
+        )
+        for service, shedder in self._shedders.items():
+            views = {}
+            for rank in shedder.admitted_shares:
+                view = table.get_view(service, rank, now)
+                if view is not None:
+                    views[rank] = view
+            if views or shedder.customer_shares:
+                shedder.update_customer_shares(views)
+        self._reservations.drop_expired(now)
 
     def _get_required_slots(self, route: str, service: str) -> dict[str, float]:
         """Returns the slot-seconds that a request needs, by service."""
@@ -93,5 +215,5 @@
     def _get_shedder(self, service: str) -> load_shedder.LoadShedder:
         shedder = self._shedders.get(service)
         if shedder is None:
-            shedder = self._shedders[service] = load_shedder.LoadShedder()
+            shedder = self._shedders[service] = load_shedder.LoadShedder(self._rng)
         return shedder
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -28,6 +28,7 @@
     retry_after,
     retry_policy,
     route_table,
+    share_gate,
 )
 from .pending_request import PendingRequest
 
@@ -70,7 +71,7 @@
         self._header_names = header_names
         self._local_endpoint = endpoint
         self._endpoints = endpoints
-        self.admission = admission.AdmissionController(endpoints, graph)
+        self.admission = admission.AdmissionController(endpoints, graph, rng)
         self._graph = graph
         self._history = history
         self._metrics = node_metrics
@@ -100,6 +101,7 @@
         """Applies a config."""
         self._route_table = route_table.RouteTable(config)
         self._authenticator.set_config(config)
+        self.admission.set_config(config)
         self._retry_policy.set_config(config)
         self._request_log.config_version = config.version
 
@@ -176,10 +178,9 @@
     def _admit(self, pending: PendingRequest) -> None:
         """Sends a request to an endpoint unless a service it needs lacks capacity."""
         now = self._loop.time()
-        if not pending.is_nested_call and not self.admission.admit_request(
-            pending.route, pending.service, pending.rank
-        ):
-            self._send_refusal(pending, data.RefusalReason.CHAIN_OVERLOADED)
+        reason = share_gate.admit(self.admission, pending, now)
+        if reason is not None:
+            self._send_refusal(pending, reason)
             return
         pending.head = pending.head or self._build_head(pending)
         pending.expiry_timer = self._loop.call_at(
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder.py
@@ -12,10 +12,15 @@
 Demand is in slots, the work that arrives per second at the service, nested calls
 included, by rank. Requests of one service differ many times in cost, so a number of
 requests would say little. Rank 0 is the highest.
+
+With customers, each customer has a share of its own within a rank, see :mod:`..shares`.
 """
 
+import random
 from collections.abc import Mapping
 
+from ..shares import demand_table, water_filling
+
 TARGET_UTILIZATION = 0.92
 DEMAND_AVERAGING_S = 0.8
 MIN_DEMAND_AVERAGING_S = 0.25  # a few simultaneous requests give no reliable rate
@@ -29,18 +34,26 @@
 RESERVED_DEMAND_RATIO = 0.06
 MAX_RESERVED_SLOTS_RATIO = 0.12  # refused requests return and inflate the demand
 INITIAL_CREDIT = 1.0
+MAX_RETURN_DEBT = 8.0  # returning requests admitted in advance of their credit
 
 Demand = Mapping[int, float]
+CustomerShares = Mapping[str, float]
 
 
 class LoadShedder:
-    """Shares of root requests that this node admits to protect one service."""
+    """Shares of root requests that this node admits to protect one service.
 
-    def __init__(self) -> None:
+    :param rng: source of the credit with which a customer begins.
+    """
+
+    def __init__(self, rng: random.Random | None = None) -> None:
+        self._rng = rng or random.Random()
         self._demand: dict[int, float] = {}
         self._new_demand: dict[int, float] = {}
         self._admitted_shares: dict[int, float] = {}
         self._credits: dict[int, float] = {}
+        self._customer_shares: dict[int, CustomerShares] = {}
+        self._customer_credits: dict[tuple[int, str], float] = {}
         self._capacity_correction = 1.0
         self._age_s = 0.0
 
@@ -59,9 +72,21 @@
         """Admitted shares by rank, for the ranks that are limited."""
         return self._admitted_shares
 
-    def get_share(self, rank: int) -> float:
-        """Returns the share of a rank's requests that is admitted."""
-        return self._admitted_shares.get(rank, 1.0)
+    @property
+    def customer_shares(self) -> Mapping[int, CustomerShares]:
+        """Admitted shares of the largest customers and of the others, by rank."""
+        return self._customer_shares
+
+    def get_share(self, rank: int, customer: str = "") -> float:
+        """Returns the share of the requests of a rank and a customer."""
+        rank_share = self._admitted_shares.get(rank, 1.0)
+        shares = self._customer_shares.get(rank)
+        if shares is None:
+            return rank_share
+        share = shares.get(customer)
+        if share is None:
+            share = shares.get(water_filling.OTHERS, rank_share)
+        return share
 
     def record_demand(self, rank: int, slot_s: float) -> None:
         """Counts a root request as demand.
@@ -71,16 +96,37 @@
         """
         self._new_demand[rank] = self._new_demand.get(rank, 0.0) + slot_s
 
-    def decide(self, rank: int) -> bool:
-        """Decides whether a root request is admitted, by the share of its rank."""
-        share = self.get_share(rank)
+    def decide(self, rank: int, customer: str = "", *, returns: bool = False) -> bool:
+        """Decides whether a root request is admitted, by the share that applies to it.
+
+        :param returns: whether the request was refused and returns at its time.
+        """
+        share = self.get_share(rank, customer)
         if share >= 1.0:
             return True
+        if rank in self._customer_shares:
+            return self._decide_for_customer(rank, customer, share, returns)
         credit = min(1.0, self._credits.get(rank, INITIAL_CREDIT)) + share
         admitted = credit >= 1.0
         self._credits[rank] = credit - 1.0 if admitted else credit
         return admitted
 
+    def _decide_for_customer(
+        self, rank: int, customer: str, share: float, returns: bool
+    ) -> bool:
+        """Decides by the credit of a customer, or of all that are not named.
+
+        A new credit is random: otherwise the first request of a customer at each node
+        would be admitted, at all nodes together more than its share.
+        """
+        name = customer if customer in self._customer_shares[rank] else ""
+        key = (rank, name)
+        credit = self._customer_credits.get(key)
+        credit = min(1.0, self._rng.random() if credit is None else credit) + share
+        admitted = credit >= (1.0 - MAX_RETURN_DEBT if returns else 1.0)
+        self._customer_credits[key] = credit - 1.0 if admitted else credit
+        return admitted
+
     def update(
         self,
         elapsed_s: float,
@@ -105,6 +151,28 @@
         available_slots = slots * TARGET_UTILIZATION * self._capacity_correction
         self._admitted_shares = compute_admitted_shares(total_demand, available_slots)
 
+    def update_customer_shares(
+        self, views: Mapping[int, demand_table.DemandView]
+    ) -> None:
+        """Divides the room of each limited rank between its customers.
+
+        :param views: demand of the customers by rank, where it is known.
+        """
+        self._customer_shares = {}
+        for rank, rank_share in self._admitted_shares.items():
+            view = views.get(rank)
+            if view is not None:
+                self._customer_shares[rank] = water_filling.compute_customer_shares(
+                    view.slots,
+                    rank_share * sum(view.slots.values()),
+                    water_filling.estimate_others_count(view.slots),
+                )
+        self._customer_credits = {
+            (rank, name): credit
+            for (rank, name), credit in self._customer_credits.items()
+            if name in self._customer_shares.get(rank, {})
+        }
+
     def _update_correction(self, elapsed_s: float, utilization: float) -> None:
         """Adapts the correction while it matters; otherwise it returns to 1."""
         correction = self._capacity_correction
@@ -136,8 +204,26 @@
         self._new_demand.clear()
 
 
+def find_limiting_service(
+    shedders: Mapping[str, LoadShedder],
+    rank: int,
+    required_slot_s: Mapping[str, float],
+    customer: str = "",
+) -> str:
+    """Returns the service with the lowest share of those that a request needs."""
+    return min(
+        required_slot_s, key=lambda name: shedders[name].get_share(rank, customer)
+    )
+
+
 def admit_request(
-    shedders: Mapping[str, LoadShedder], rank: int, required_slot_s: Mapping[str, float]
+    shedders: Mapping[str, LoadShedder],
+    rank: int,
+    required_slot_s: Mapping[str, float],
+    customer: str = "",
+    table: demand_table.DemandTable | None = None,
+    *,
+    returns: bool = False,
 ) -> bool:
     """Decides whether a root request is admitted to all services that it needs.
 
@@ -147,13 +233,18 @@
 
     :param shedders: shedders by service.
     :param required_slot_s: slot-seconds that the request needs, by service.
+    :param customer: name of its customer; empty without one.
+    :param table: demand by customer; None without customers.
+    :param returns: whether the request was refused and returns at its time.
     """
-    limiting = min(required_slot_s, key=lambda name: shedders[name].get_share(rank))
-    share = shedders[limiting].get_share(rank)
+    limiting = find_limiting_service(shedders, rank, required_slot_s, customer)
+    share = shedders[limiting].get_share(rank, customer)
     for name, slot_s in required_slot_s.items():
         weight = 1.0 if name == limiting else share
         shedders[name].record_demand(rank, weight * slot_s)
-    return shedders[limiting].decide(rank)
+        if table is not None:
+            table.record(name, rank, customer, weight * slot_s)
+    return shedders[limiting].decide(rank, customer, returns=returns)
 
 
 def compute_admitted_shares(
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/pending_request.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/pending_request.py
@@ -7,6 +7,7 @@
 from .. import data
 from ..ingress import http1
 from ..quotas import customer_account
+from ..shares import share_refusal
 from . import call_graph
 
 
@@ -29,6 +30,7 @@
     :ivar rank: importance; 0 is the highest.
     :ivar customer: customer that it is charged to, if any.
     :ivar quota_ticket: ticket of its customer's quota; None if it needs none.
+    :ivar share_refusal: why it was refused by its customer's share, if it was.
     :ivar tried_nodes: addresses of the nodes that attempts were sent to.
     :ivar fingerprint: fingerprint of the request; empty until it is needed.
     :ivar outstanding: attempts without a result by node: None with a local execution,
@@ -58,6 +60,7 @@
         "route",
         "endpoint_attempt_count",
         "service",
+        "share_refusal",
         "expiry_timer",
         "tried_nodes",
         "may_have_run",
@@ -89,6 +92,7 @@
         self.rank = 0
         self.customer: data.Customer | None = None
         self.quota_ticket: customer_account.Ticket | None = None
+        self.share_refusal: share_refusal.ShareRefusal | None = None
         self.tried_nodes: set[str] = set()
         self.reached_nodes: set[str] = set()
         self.rejecting_nodes: set[str] = set()
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/request_log.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/request_log.py
@@ -75,12 +75,14 @@
         )
         if not self._log.reserve_line("route", failure=True, reason=reason_value):
             return
-        crash_fields: dict[str, object] = {}
+        refusal_fields: dict[str, object] = {}
         if crash_count:
-            crash_fields = {
+            refusal_fields = {
                 "request": fingerprint.format_fingerprint(pending.fingerprint),
                 "crashes": crash_count,
             }
+        if reason is data.RefusalReason.SHARE_EXCEEDED:
+            refusal_fields |= build_share_fields(pending)
         self._log.write(
             "route",
             "Request refused." if status in REFUSAL_STATUSES else "Request failed.",
@@ -95,7 +97,7 @@
             call=pending.is_nested_call,
             version=self.config_version,
             shares=self._admission.get_admitted_shares(),
-            **crash_fields,
+            **refusal_fields,
         )
 
     def record_attempt_failure(
@@ -152,3 +154,17 @@
                 id=pending.request_id.decode("latin-1"),
                 at=node,
             )
+
+
+def build_share_fields(pending: pending_request.PendingRequest) -> dict[str, object]:
+    """Builds the fields that explain a refusal by the share of a customer."""
+    refusal = pending.share_refusal
+    age_s = refusal.age_s
+    return {
+        "customer": pending.customer_name,
+        "rank": pending.rank,
+        "limited_by": refusal.service,
+        "share": round(refusal.share, 3),
+        "sums_age_ms": None if age_s is None else round(age_s * 1000),
+        "retry_after_s": round(refusal.retry_after_s, 3),
+    }
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_after.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_after.py
@@ -28,6 +28,8 @@
     ticket = pending.quota_ticket
     if ticket is not None and ticket.refusal is not None:
         return ticket.refusal.retry_after_s
+    if reason is data.RefusalReason.SHARE_EXCEEDED:
+        return pending.share_refusal.retry_after_s
     if reason is data.RefusalReason.BLOCKED:
         block_s = history.get_remaining_block_s(now, pending.fingerprint)
         return max(MIN_BLOCKED_RETRY_AFTER_S, block_s)
--- a/packages/catkintiller-relay/src/catkintiller_relay/telemetry/gauges.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/telemetry/gauges.py
@@ -21,6 +21,7 @@
     :param is_quota_coordinator: whether the node follows itself as the coordinator of
         the quotas; None without quotas.
     :param quota_follower_count: number of nodes that follow it, itself included.
+    :param customer_shares: lowest admitted shares of customers, by service and rank.
     """
 
     config_version: int | None
@@ -32,6 +33,7 @@
     block_count: int
     is_quota_coordinator: bool | None
     quota_follower_count: int
+    customer_shares: Mapping[str, Mapping[int, Mapping[str, float]]]
 
 
 def set_gauges(
@@ -61,8 +63,21 @@
         followers = values.quota_follower_count
         node_metrics.set_gauge("quota_coordinator", "", values.is_quota_coordinator)
         node_metrics.set_gauge("quota_followers", "", followers)
+    _set_customer_shares(node_metrics, values)
     for service, remaining in values.remaining_retries.items():
         node_metrics.set_gauge("retry_budget_left", f'service="{service}"', remaining)
     for (call, result), count in values.store_calls.items():
         labels = f'call="{call}",result="{result}"'
         node_metrics.set_gauge("store_calls", labels, count)
+
+
+def _set_customer_shares(node_metrics: metrics.Metrics, values: GaugeValues) -> None:
+    """Sets the gauge of the shares; the empty name stands for all other customers."""
+    gauges = {}
+    for service, shares in values.customer_shares.items():
+        for rank, by_customer in shares.items():
+            for name, share in by_customer.items():
+                customer = metrics.escape_label(name)
+                labels = f'service="{service}",rank="{rank}",customer="{customer}"'
+                gauges[labels] = share
+    node_metrics.replace_gauges("customer_admitted_share", gauges)
--- a/packages/catkintiller-relay/src/catkintiller_relay/telemetry/load_line.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/telemetry/load_line.py
@@ -15,6 +15,7 @@
     :param requests: forwards the requests that arrive at this node.
     """
     queue = endpoint.queue
+    customer_shares = requests.admission.get_customer_shares()
     log.write(
         "queue",
         "Load of the endpoint.",
@@ -29,3 +30,5 @@
         pending=requests.pending_count,
         shares=requests.admission.get_admitted_shares(),
     )
+    if customer_shares:
+        log.write("shares", "Shares of customers.", customers=customer_shares)
--- a/packages/catkintiller-relay/src/catkintiller_relay/telemetry/metrics.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/telemetry/metrics.py
@@ -1,5 +1,7 @@
 """Counters, gauges and latencies of a node, in the Prometheus text format."""
 
+from collections.abc import Mapping
+
 from hdrh import histogram
 
 MIN_LATENCY_US = 1
@@ -30,6 +32,13 @@
         """Sets the value of a gauge."""
         self._gauges[name, labels] = value
 
+    def replace_gauges(self, name: str, values: Mapping[str, float]) -> None:
+        """Sets the values of a gauge by labels and drops those with other labels."""
+        for key in [key for key in self._gauges if key[0] == name]:
+            del self._gauges[key]
+        for labels, value in values.items():
+            self._gauges[name, labels] = value
+
     def record_latency(self, name: str, labels: str, seconds: float) -> None:
         """Records a latency in seconds, clamped to the range of the histogram."""
         key = (name, labels)
@@ -55,6 +64,11 @@
         return "\n".join(lines) + "\n"
 
 
+def escape_label(value: str) -> str:
+    """Escapes the value of a label that may have any characters."""
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+
+
 def _format_labels(labels: str) -> str:
     return f"{{{labels}}}" if labels else ""
 
