--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder.py
@@ -84,9 +84,7 @@
         if shares is None:
             return rank_share
         share = shares.get(customer)
-        if share is None:
-            share = shares.get(water_filling.OTHERS, rank_share)
-        return share
+        return shares[water_filling.OTHERS] if share is None else share
 
     def record_demand(self, rank: int, slot_s: float) -> None:
         """Counts a root request as demand.
@@ -156,17 +154,23 @@
     ) -> None:
         """Divides the room of each limited rank between its customers.
 
+        A customer without demand so far has the share of the smallest one.
+
         :param views: demand of the customers by rank, where it is known.
         """
         self._customer_shares = {}
         for rank, rank_share in self._admitted_shares.items():
             view = views.get(rank)
             if view is not None:
-                self._customer_shares[rank] = water_filling.compute_customer_shares(
+                shares = water_filling.compute_customer_shares(
                     view.slots,
                     rank_share * sum(view.slots.values()),
                     water_filling.estimate_others_count(view.slots),
                 )
+                shares.setdefault(
+                    water_filling.OTHERS, max(shares.values(), default=rank_share)
+                )
+                self._customer_shares[rank] = shares
         self._customer_credits = {
             (rank, name): credit
             for (rank, name), credit in self._customer_credits.items()
