Rank 0 is not refused because of work of lower ranks

Cause: work that admission does not know as demand, such as nested calls of a route whose edges are not known, raises the utilization of a service. The correction of the capacity then fell to 0.6 for all ranks: rank 0 was refused at its node of arrival while the nested calls of the next rank were served. The queue beside the endpoint is not the cause: without admission it serves rank 0 in full.

Change: a node reports which part of the utilization rank 0 causes (a new last field of LoadReport). Rank 0 has the whole capacity unless its own work exceeds it. Where a node of an older version does not report it, the rule is as before.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
@@ -49,6 +49,8 @@
         if the sender is of an older version.
     :param slot_demand: slots demanded at the node, in thousandths, in the order of the
         ``demand_keys`` of the last node state.
+    :param highest_rank_utilization: part of the utilization that requests of rank 0
+        cause, in thousandths; negative if the sender is of an older version.
     """
 
     load: int
@@ -58,6 +60,7 @@
     demand: list[int]
     interval_ms: int = 0
     slot_demand: list[int] = []
+    highest_rank_utilization: int = -1
 
 
 class NodeState(msgspec.Struct, tag=2, array_like=True):
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/node_state.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/node_state.py
@@ -96,4 +96,5 @@
             [],
             round(report_interval_s * 1000),
             slot_demand,
+            round(queue.highest_rank_utilization * frames.UTILIZATION_SCALE),
         )
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
@@ -56,9 +56,17 @@
         self._occupancies_s = self._endpoints.compute_occupancies_s(now)
         self._required_slots.clear()
         self._extend_demand_keys()
+        highest_rank: dict[str, float] = {}
+        if any(shedder.is_correcting for shedder in self._shedders.values()):
+            highest_rank = self._endpoints.get_highest_rank_utilizations()
         for service, (slots, utilization) in self._endpoints.get_loads().items():
-            shedder = self._get_shedder(service)
-            shedder.update(elapsed_s, slots, utilization, peer_demand.get(service, {}))
+            self._get_shedder(service).update(
+                elapsed_s,
+                slots,
+                utilization,
+                peer_demand.get(service, {}),
+                highest_rank.get(service),
+            )
         if self.has_customers:
             self._update_customers(now, elapsed_s)
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
@@ -180,6 +180,35 @@
             for name, (total_slots, total_work) in totals.items()
         }
 
+    def get_highest_rank_utilizations(self) -> dict[str, float]:
+        """Returns the utilization by requests of rank 0, by service.
+
+        Services of which an endpoint's node does not report it are left out.
+        """
+        totals: dict[str, tuple[float, float]] = {}
+        unknown = set()
+        for peer in self._peers.peers.values():
+            if not peer.takes_requests:
+                continue
+            reported = peer.state.load_report.highest_rank_utilization
+            if reported < 0:
+                unknown.add(peer.state.service)
+            utilization = min(
+                MAX_COUNTED_UTILIZATION, reported / frames.UTILIZATION_SCALE
+            )
+            _add_utilization(totals, peer.state.service, peer.usable_slots, utilization)
+        if self._local_endpoint.accepting or self._local_endpoint.lame_duck:
+            queue = self._local_endpoint.queue
+            utilization = min(MAX_COUNTED_UTILIZATION, queue.highest_rank_utilization)
+            _add_utilization(
+                totals, self._settings.service, queue.usable_slots, utilization
+            )
+        return {
+            name: work / max(MIN_COUNTED_SLOTS, slots)
+            for name, (slots, work) in totals.items()
+            if name not in unknown
+        }
+
     def compute_occupancies_s(self, now: float) -> dict[tuple[str, str], float]:
         """Computes for how many seconds a request holds a slot, by service and route.
 
@@ -224,3 +253,13 @@
             sampled_slots = slots / frames.DEMAND_SCALE
             demand.setdefault(service, {})[rank] = sampled_slots * ratio
         return demand
+
+
+def _add_utilization(
+    totals: dict[str, tuple[float, float]],
+    service: str,
+    slots: float,
+    utilization: float,
+) -> None:
+    total_slots, total_work = totals.get(service, (0.0, 0.0))
+    totals[service] = (total_slots + slots, total_work + utilization * slots)
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder.py
@@ -34,6 +34,7 @@
 RESERVED_DEMAND_RATIO = 0.06
 MAX_RESERVED_SLOTS_RATIO = 0.12  # refused requests return and inflate the demand
 INITIAL_CREDIT = 1.0
+HIGHEST_RANK = 0
 MAX_RETURN_DEBT = 8.0  # returning requests admitted in advance of their credit
 
 Demand = Mapping[int, float]
@@ -55,6 +56,7 @@
         self._customer_shares: dict[int, CustomerShares] = {}
         self._customer_credits: dict[tuple[int, str], float] = {}
         self._capacity_correction = 1.0
+        self._highest_rank_correction = 1.0
         self._age_s = 0.0
 
     @property
@@ -67,6 +69,11 @@
         """Factor that corrects the capacity by the measured utilization."""
         return self._capacity_correction
 
+    @property
+    def is_correcting(self) -> bool:
+        """Whether requests are refused or the capacity is corrected downwards."""
+        return bool(self._admitted_shares) or self._capacity_correction < 1.0
+
     @property
     def admitted_shares(self) -> Mapping[int, float]:
         """Admitted shares by rank, for the ranks that are limited."""
@@ -131,23 +138,44 @@
         slots: float,
         utilization: float,
         peer_demand: Demand,
+        highest_rank_utilization: float | None = None,
     ) -> None:
         """Updates the admitted shares.
 
+        Work of lower ranks that is not known as demand also raises the utilization. It
+        does not delay requests of rank 0, which run first at the endpoints. So rank 0
+        has the whole capacity unless its own work exceeds it.
+
         :param elapsed_s: time in seconds since the last update.
         :param slots: number of requests that the service runs concurrently.
         :param utilization: recent ratio of arriving work to the work that can be done.
         :param peer_demand: demand at all other nodes together.
+        :param highest_rank_utilization: part of the utilization that rank 0 causes;
+            None if it is not known.
         """
         if elapsed_s <= 0:
             return
         self._update_demand(elapsed_s)
-        self._update_correction(elapsed_s, utilization)
+        self._capacity_correction = self._compute_correction(
+            self._capacity_correction, elapsed_s, utilization
+        )
+        self._highest_rank_correction = self._compute_correction(
+            self._highest_rank_correction,
+            elapsed_s,
+            utilization
+            if highest_rank_utilization is None
+            else highest_rank_utilization,
+        )
         total_demand = dict(self._demand)
         for rank, rate in peer_demand.items():
             total_demand[rank] = total_demand.get(rank, 0.0) + rate
-        available_slots = slots * TARGET_UTILIZATION * self._capacity_correction
-        self._admitted_shares = compute_admitted_shares(total_demand, available_slots)
+        usable_slots = slots * TARGET_UTILIZATION
+        highest_rank_slots = 0.0
+        if highest_rank_utilization is not None:
+            highest_rank_slots = usable_slots * min(1.0, self._highest_rank_correction)
+        self._admitted_shares = compute_admitted_shares(
+            total_demand, usable_slots * self._capacity_correction, highest_rank_slots
+        )
 
     def update_customer_shares(
         self, views: Mapping[int, demand_table.DemandView]
@@ -177,9 +205,10 @@
             if name in self._customer_shares.get(rank, {})
         }
 
-    def _update_correction(self, elapsed_s: float, utilization: float) -> None:
-        """Adapts the correction while it matters; otherwise it returns to 1."""
-        correction = self._capacity_correction
+    def _compute_correction(
+        self, correction: float, elapsed_s: float, utilization: float
+    ) -> float:
+        """Adapts a correction while it matters; otherwise it returns to 1."""
         if utilization > OVERLOAD_UTILIZATION:
             excess = min(1.0, utilization - OVERLOAD_UTILIZATION)
             correction -= CORRECTION_DECREASE_PER_S * excess * elapsed_s
@@ -193,9 +222,7 @@
         else:
             step = CORRECTION_RELAXATION_PER_S * elapsed_s
             correction = max(1.0, correction - step)
-        self._capacity_correction = min(
-            MAX_CORRECTION_RATIO, max(MIN_CORRECTION_RATIO, correction)
-        )
+        return min(MAX_CORRECTION_RATIO, max(MIN_CORRECTION_RATIO, correction))
 
     def _update_demand(self, elapsed_s: float) -> None:
         self._age_s += elapsed_s
@@ -252,7 +279,7 @@
 
 
 def compute_admitted_shares(
-    total_demand: Demand, available_slots: float
+    total_demand: Demand, available_slots: float, highest_rank_slots: float = 0.0
 ) -> dict[int, float]:
     """Computes the share of each rank that can be admitted, highest rank first.
 
@@ -261,6 +288,7 @@
 
     :param total_demand: demand at all nodes together.
     :param available_slots: slots of the service that may be used.
+    :param highest_rank_slots: slots that rank 0 may use, if they are more.
     :returns: shares of the ranks that cannot be admitted in full.
     """
     shares = {}
@@ -273,8 +301,11 @@
     remaining_slots = max(0.0, available_slots - reserved_slots)
     for rank in sorted(total_demand):
         demand = total_demand[rank]
-        granted_slots = min(demand - reserved[rank], remaining_slots)
-        remaining_slots -= granted_slots
+        room = remaining_slots
+        if rank == HIGHEST_RANK:
+            room = max(room, highest_rank_slots - reserved_slots)
+        granted_slots = min(demand - reserved[rank], room)
+        remaining_slots = max(0.0, remaining_slots - granted_slots)
         granted_slots += reserved[rank]
         if granted_slots < demand:
             shares[rank] = granted_slots / demand
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_queue.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_queue.py
@@ -26,6 +26,7 @@
 FULL_UTILIZATION_WAIT_S = 0.05
 # Requests that run until the endpoint's first response, which tells its rate limit.
 FIRST_CONCURRENCY = 4
+HIGHEST_RANK = 0
 
 
 class QueuedRequest(NamedTuple):
@@ -62,6 +63,8 @@
         self._utilization = 0.0
         self._refused_count = 0
         self._arrived_work_s = 0.0
+        self._highest_rank_utilization = 0.0
+        self._highest_rank_work_s = 0.0
 
     @property
     def concurrency_limit(self) -> int:
@@ -109,6 +112,14 @@
         """
         return self._utilization
 
+    @property
+    def highest_rank_utilization(self) -> float:
+        """Part of the utilization that requests of the highest rank cause.
+
+        They run first, so they lack capacity only if this part exceeds 1.
+        """
+        return self._highest_rank_utilization
+
     def set_slots(self, slots: int) -> None:
         """Sets the concurrency limit from the announced number of slots."""
         self._concurrency_limit = max(1, int(slots * USABLE_SLOTS_RATIO))
@@ -178,7 +189,10 @@
         :returns: (True, None) if it gets a slot, (False, number) if it is queued,
             (False, None) if it is refused.
         """
-        self._arrived_work_s += self._service_time_s if work_s is None else work_s
+        work_s = self._service_time_s if work_s is None else work_s
+        self._arrived_work_s += work_s
+        if rank == HIGHEST_RANK:
+            self._highest_rank_work_s += work_s
         if not self.queued_count and self._has_free_slot():
             if self._rate_limiter.allows(now):
                 self._occupy_slot(now)
@@ -279,6 +293,14 @@
         sample = min(MAX_UTILIZATION_RATIO, max(arrival_utilization, occupancy))
         weight = min(1.0, elapsed_s / UTILIZATION_TIME_CONSTANT_S)
         self._utilization += weight * (sample - self._utilization)
+        waiting_count = sum(entry.rank == HIGHEST_RANK for entry in self._heap)
+        wait_s = waiting_count * self._service_time_s / usable_slots
+        sample = self._highest_rank_work_s / elapsed_s / usable_slots
+        sample = min(MAX_UTILIZATION_RATIO, sample + wait_s / full_utilization_wait_s)
+        self._highest_rank_work_s = 0.0
+        self._highest_rank_utilization += weight * (
+            sample - self._highest_rank_utilization
+        )
 
     def pop_refused_count(self) -> int:
         """Returns the number of refusals since the last call and resets it."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/shares/played_load_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/shares/played_load_test.py
@@ -54,6 +54,10 @@
         """Returns the time for which a request holds a slot."""
         return {(SERVICE, ROUTE.name): SLOT_S}
 
+    def get_highest_rank_utilizations(self) -> dict[str, float]:
+        """Returns nothing, like a directory of nodes of an older version."""
+        return {}
+
     def get_loads(self) -> dict[str, tuple[float, float]]:
         """Returns slots and utilization."""
         return {SERVICE: (self._world.slots, self._world.utilization)}
