--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -29,6 +29,7 @@
     notice_handler,
     service_times,
 )
+from .shares import share_exchange
 from .telemetry import events, gauges, load_line, metrics, status_pages
 
 ADMISSION_INTERVAL_S = 0.1
@@ -108,6 +109,9 @@
             lambda: self._store_watcher.nodes_listed,
             self._rng,
             log,
+            *share_exchange.build_hooks(
+                loop, lambda: self._forwarder.admission.customer_demand
+            ),
         )
         header_names = platform.header_names
         self._pool = endpoint_pool.EndpointConnectionPool(
@@ -351,6 +355,7 @@
             history.block_count,
             self._quotas.is_coordinator if self._quotas.enabled else None,
             self._quotas.follower_count,
+            self._forwarder.admission.get_customer_shares(),
         )
 
     def _handle_node_record(self, key: str, record: store_watcher.NodeRecord) -> None:
