The coordinator's time for a message no longer grows with the number of nodes

Cause: each message looked through all leases, once for those that had expired and once for the largest member count.

Change: leases are looked through when the first one may end; member counts are counted.

--- a/packages/catkintiller-relay/src/catkintiller_relay/quotas/coordinator.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/quotas/coordinator.py
@@ -6,6 +6,7 @@
 this node was paused, therefore extend no lease.
 """
 
+import collections
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -54,6 +55,9 @@
         self._started_ms = int(started_at * 1000)
         self._totals = totals or demand_totals.NoDemandTotals()
         self._leases: dict[str, Lease] = {}
+        # Not later than the first end of a lease: leases are only looked through then.
+        self._next_expiry_at = float("inf")
+        self._member_counts: collections.Counter[int] = collections.Counter()
         self._history = token_bucket.ShareHistory()
         self._accounts: dict[str, _Account] = {}
         self._customers: dict[str, data.Customer] = {}
@@ -124,26 +128,37 @@
         previous = self._leases.get(sender)
         if previous is not None:
             expires_at = max(expires_at, previous.expires_at)
+            self._remove_count(previous.member_count)
         self._leases[sender] = Lease(expires_at, request.member_count)
+        self._member_counts[request.member_count] += 1
+        self._next_expiry_at = min(self._next_expiry_at, expires_at)
         self._update_share(now)
         return True
 
     def _expire_leases(self, now: float) -> None:
         """Ends expired leases in their order, so that each counted until its end."""
+        if now < self._next_expiry_at:
+            return
         expired = sorted(
             (lease.expires_at, sender)
             for sender, lease in self._leases.items()
             if lease.expires_at <= now
         )
         for expires_at, sender in expired:
-            del self._leases[sender]
+            self._remove_count(self._leases.pop(sender).member_count)
             self._update_share(expires_at)
+        self._next_expiry_at = min(
+            (lease.expires_at for lease in self._leases.values()), default=float("inf")
+        )
+
+    def _remove_count(self, member_count: int) -> None:
+        self._member_counts[member_count] -= 1
+        if not self._member_counts[member_count]:
+            del self._member_counts[member_count]
 
     def _update_share(self, now: float) -> None:
-        member_count = max(
-            (lease.member_count for lease in self._leases.values()),
-            default=1,
-        )
+        # Members agree on their number but for a few moments, so there are few counts.
+        member_count = max(self._member_counts, default=1)
         member_count = max(member_count, self.own_member_count)
         self._history.record(now, min(1.0, len(self._leases) / member_count))
 
