A client without a key cannot pass for another client's nested call

Cause: with customers, a request without a key was taken for a nested call if a running request had the same beginning of its ID up to the first dot, or, on a route with nested calls, about the same deadline. It then ran for that customer. Such arrivals were also counted as edges of the call graph, so that more were accepted.

Change: the ID of a request without a key must extend the whole ID of a request that runs at this node. Without customers in the config nothing changes.

--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/authentication.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/authentication.py
@@ -114,15 +114,13 @@
             if customer is not None or route.public:
                 return Identity(Decision.ACCEPT, customer)
             return Identity(Decision.UNAUTHORIZED)
-        return self._identify_without_key(request_id, route, deadline, now)
+        return self._identify_without_key(request_id, route, now)
 
     def _identify_without_key(
-        self, request_id: bytes, route: data.Route, deadline: float, now: float
+        self, request_id: bytes, route: data.Route, now: float
     ) -> Identity:
-        parent = self._running_requests.find_parent_by_id(request_id)
+        parent = self._running_requests.find_extended(request_id)
         is_callee = self._graph.is_callee(route.name)
-        if parent is None and is_callee:
-            parent = self._running_requests.find_parent(request_id, deadline)
         if parent is not None:
             # A key may have been withdrawn since; the tree of calls is completed.
             customer = self._customers.get(parent.customer)
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/authentication_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/authentication_test.py
@@ -137,3 +137,27 @@
         setup = Setup(CUSTOMER, is_current=False)
         identity = setup.identify(ROOT_ROUTE, b"r1")
         assert identity.decision is authentication.Decision.UNAUTHORIZED
+
+
+class TestImpersonation:
+    """A client without a key cannot pass for a nested call of another client."""
+
+    def test_same_deadline_on_a_route_with_nested_calls(self) -> None:
+        setup = Setup(CUSTOMER)
+        setup.running.add("root", 1, b"r1", DEADLINE, "shop")
+        identity = setup.identify(CALLEE_ROUTE, b"r2")
+        assert identity.decision is authentication.Decision.UNAUTHORIZED
+
+    def test_id_that_shares_only_its_beginning(self) -> None:
+        setup = Setup(CUSTOMER)
+        setup.running.add("root", 1, b"r1.north.1", DEADLINE, "shop")
+        for request_id in (b"r1.south.1", b"r1.north.12", b"r1.north.1", b"r1"):
+            identity = setup.identify(ROOT_ROUTE, request_id)
+            assert identity.decision is authentication.Decision.UNAUTHORIZED
+
+    def test_deeper_of_two_running_requests_is_the_parent(self) -> None:
+        setup = Setup(CUSTOMER)
+        parent = setup.running.add("callee", 1, b"r1.2", DEADLINE, "shop")
+        setup.running.add("root", 1, b"r1", DEADLINE, "shop")
+        identity = setup.identify(CALLEE_ROUTE, b"r1.2.3")
+        assert identity.parent is parent
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
@@ -35,6 +35,7 @@
 
     :ivar number: position in the order of starts on this node.
     :ivar rank: rank of the root request that caused it, 0 is highest.
+    :ivar request_id: its ID, which the IDs of its nested calls extend after a dot.
     :ivar root_id: part of the request ID that its nested calls share.
     :ivar deadline: time of the event loop by which it must end, in seconds.
     :ivar calls: number of nested calls that it has made, by route and service.
@@ -50,6 +51,7 @@
         "deadline",
         "number",
         "rank",
+        "request_id",
         "root_id",
         "route",
     )
@@ -67,6 +69,7 @@
         self.customer = customer
         self.route = route
         self.rank = rank
+        self.request_id = request_id
         self.root_id = get_root_id(request_id)
         self.deadline = deadline
         self.calls: dict[tuple[str, str], int] = {}
@@ -154,6 +157,20 @@
                 closest = (difference_s, number)
         return None if closest is None else self._requests[closest[1]]
 
+    def find_extended(self, request_id: bytes) -> RunningRequest | None:
+        """Finds the running request whose whole ID an ID extends after a dot.
+
+        Requests of other clients may have the same root ID, so that ID alone does not
+        tell for whom a request without a key runs.
+        """
+        related = self._requests_by_root.get(get_root_id(request_id), {})
+        extended = [
+            request
+            for request in related.values()
+            if request_id.startswith(request.request_id + b".")
+        ]
+        return max(extended, key=lambda each: len(each.request_id), default=None)
+
     def find_parent_by_id(self, request_id: bytes) -> RunningRequest | None:
         """Finds the running request whose ID a nested call extends."""
         root_id = get_root_id(request_id)
