Admission and peer checks look at the connection of each peer once

Cause: ten times a second the admission control asked each of three sums, and the count of live members, for each peer again whether it is connected; the presence of each peer was updated although no member was known to be gone. Change: the connected peers are listed once for each update; whether a peer's endpoint takes requests is computed when its state changes; presence is updated only where it can change; a changed figure in a report is added in one step. Test: a member that stopped counts again when it returns.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -190,6 +190,8 @@
     :ivar unreachable_since: time of the event loop since which it cannot be reached,
         in seconds; None while it is connected.
     :ivar announced_stop: whether its process has said that it is about to stop.
+    :ivar is_endpoint_open: whether its endpoint accepts new requests, also as a lame
+        duck, whether or not the peer is connected.
     :ivar on_service_change: called when a node state names another service than the
         state before.
     """
@@ -219,7 +221,8 @@
         self.sent_since_report = 0
         self.unreachable_since: float | None = None
         self.announced_stop = False
-        self.on_service_change: Callable[[], None] = _ignore
+        self.is_endpoint_open = False
+        self.on_service_change: Callable[[], None] = lambda: None
         self._left_endpoint: tuple[str, int] | None = None
         self._has_endpoint = False
         self._observer = observer
@@ -282,10 +285,7 @@
     @property
     def takes_requests(self) -> bool:
         """Whether the peer's endpoint accepts new requests, also as a lame duck."""
-        if not self._has_endpoint:
-            return False
-        state = self.state
-        return (state.accepting or state.lame_duck) and self.connected
+        return self.is_endpoint_open and self.connected
 
     @property
     def usable_slots(self) -> float:
@@ -377,6 +377,9 @@
                 self._left_endpoint = endpoint
             # A peer that has restarted may not know that its endpoint will leave.
             self._has_endpoint = endpoint != self._left_endpoint
+            self.is_endpoint_open = self._has_endpoint and (
+                message.accepting or message.lame_duck
+            )
             self.zone = message.zone
             self.own_times_s = {
                 route: own_us / 1e6 for route, own_us, _ in message.route_times
@@ -491,7 +494,3 @@
         self._reconnect_at = 0.0
         self.unreachable_since = None
         self._observer.handle_peer_event(self, "connected")
-
-
-def _ignore() -> None:
-    pass
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/coordinator_order.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/coordinator_order.py
@@ -37,6 +37,11 @@
         gone_count = sum(address in self for address in self._absent)
         return 1 + len(self._members) - gone_count
 
+    @property
+    def has_absent(self) -> bool:
+        """Whether members are not counted because they are known to be gone."""
+        return bool(self._absent)
+
     def __contains__(self, address: str) -> bool:
         entry = (config_role.get_position(address), address)
         index = bisect.bisect_left(self._members, entry)
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import random
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from .. import data
 from ..routing import subsetting
@@ -104,12 +104,21 @@
             self._sampled_ratios[service] = ratio
         return ratio
 
-    def estimate_live_count(self) -> float:
-        """Estimates how many members are reachable, from those in the subsets."""
+    def get_connected_peers(self) -> list[connections.Peer]:
+        """Returns the peers that requests can be sent to."""
+        return [peer for peer in self.peers.values() if peer.connected]
+
+    def estimate_live_count(
+        self, connected: Collection[connections.Peer] | None = None
+    ) -> float:
+        """Estimates how many members are reachable, from those in the subsets.
+
+        :param connected: the connected peers; None to find them.
+        """
         connected_counts: dict[str, int] = {}
-        for address, peer in self.peers.items():
-            service = self._services.get(address)
-            if service is not None and peer.connected:
+        for peer in self.get_connected_peers() if connected is None else connected:
+            service = self._services.get(peer.address)
+            if service is not None:
                 connected_counts[service] = connected_counts.get(service, 0) + 1
         return sum(
             count * self.get_sampled_ratio(service)
@@ -144,9 +153,15 @@
 
         :param now: time of the event loop, in seconds.
         """
+        has_absent = self.coordinator_order.has_absent
         for address, peer in list(self.peers.items()):
             peer.tick(now)
-            self._update_reachability(address, peer, now)
+            if (
+                has_absent
+                or peer.unreachable_since is not None
+                or address in self._unreachable
+            ):
+                self._update_reachability(address, peer, now)
         self._update_pinned()
         outdated, self._outdated_services = self._outdated_services, set()
         for service in outdated:
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set_test.py
@@ -142,6 +142,34 @@
 
         run(check)
 
+    def test_member_that_stopped_counts_again_when_it_returns(self) -> None:
+        """Guards against a check of the peers that leaves out those that return."""
+
+        async def check() -> None:
+            loop = asyncio.get_running_loop()
+            server = SilentServer()
+            await server.start()
+            peers = build_peer_set(RecordingObserver())
+            address = f"127.0.0.1:{server.port}"
+            peers.add_member(subsetting.Member(address, "zone-1", "pay"))
+            peers.tick(loop.time())
+            peer = peers.peers[address]
+            await wait_until(lambda: peer.connected)
+            peers.tick(loop.time())
+            assert peers.coordinator_order.member_count == 2
+            stopped = msgspec.structs.replace(build_state("pay"), stopping=True)
+            peer.handle_message(stopped)
+            server.writer.close()
+            await wait_until(lambda: not peer.connected)
+            peers.tick(loop.time())
+            assert peers.coordinator_order.member_count == 1
+            await wait_until(lambda: peers.tick(loop.time()) or peer.connected)
+            peers.tick(loop.time())
+            assert peers.coordinator_order.member_count == 2
+            peers.close()
+
+        run(check)
+
     def test_node_is_no_member_of_its_own(self) -> None:
         async def check() -> None:
             peers = build_peer_set(RecordingObserver())
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
@@ -34,11 +34,13 @@
         :param now: time of the event loop, in seconds.
         :param elapsed_s: time in seconds since the last update.
         """
-        peer_demand = self._endpoints.estimate_peer_demand(now)
-        self._occupancies_s = self._endpoints.compute_occupancies_s(now)
+        connected = self._endpoints.get_connected_peers()
+        peer_demand = self._endpoints.estimate_peer_demand(now, connected)
+        self._occupancies_s = self._endpoints.compute_occupancies_s(now, connected)
         self._required_slots.clear()
         self._extend_demand_keys()
-        for service, (slots, utilization) in self._endpoints.get_loads().items():
+        loads = self._endpoints.get_loads(connected)
+        for service, (slots, utilization) in loads.items():
             shedder = self._get_shedder(service)
             shedder.update(elapsed_s, slots, utilization, peer_demand.get(service, {}))
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
@@ -1,5 +1,7 @@
 """Directory of the endpoints that this node can send requests to."""
 
+from collections.abc import Collection
+
 from .. import data
 from ..membership import connections, frames, peer_set
 from ..serving import local_endpoint
@@ -19,6 +21,9 @@
 MIN_OCCUPANCY_S = 1e-6
 MAX_REPORT_AGE_S = 1.2  # demand reported earlier may precede a burst
 
+ConnectedPeers = Collection[connections.Peer] | None
+Load = tuple[float, float]
+
 
 class EndpointDirectory:
     """The local endpoint and the endpoints beside the peers.
@@ -143,15 +148,23 @@
         tracker = self._failure_trackers.get(node)
         return 0.0 if tracker is None else tracker.get_ratio(now)
 
-    def get_loads(self) -> dict[str, tuple[float, float]]:
+    def get_connected_peers(self) -> list[connections.Peer]:
+        """Returns the peers that requests can be sent to."""
+        return self._peers.get_connected_peers()
+
+    def get_loads(self, connected: ConnectedPeers = None) -> dict[str, Load]:
         """Returns the number of slots and the utilization by service.
 
         The slots of a service of which this node has only a subset of peers are
         extrapolated from these.
+
+        :param connected: the connected peers; None to find them.
         """
-        totals: dict[str, tuple[float, float]] = {}
-        for peer in self._peers.peers.values():
-            if not peer.takes_requests:
+        if connected is None:
+            connected = self.get_connected_peers()
+        totals: dict[str, Load] = {}
+        for peer in connected:
+            if not peer.is_endpoint_open:
                 continue
             service = peer.state.service
             ratio = self._peers.get_sampled_ratio(service)
@@ -173,17 +186,20 @@
             for name, (total_slots, total_work) in totals.items()
         }
 
-    def compute_occupancies_s(self, now: float) -> dict[tuple[str, str], float]:
+    def compute_occupancies_s(
+        self, now: float, connected: ConnectedPeers = None
+    ) -> dict[tuple[str, str], float]:
         """Computes for how many seconds a request holds a slot, by service and route.
 
         Endpoints that are faster run more requests, so it is the harmonic mean over the
         endpoints.
 
         :param now: time of the event loop, in seconds.
+        :param connected: the connected peers; None to find them.
         """
-        states = [
-            peer.state for peer in self._peers.peers.values() if peer.takes_requests
-        ]
+        if connected is None:
+            connected = self.get_connected_peers()
+        states = [peer.state for peer in connected if peer.is_endpoint_open]
         rates = dict(self._peer_occupancies.get_rates(states))
         if self._local_endpoint.accepting:
             times = self._local_endpoint.service_times.iter_times(now)
@@ -193,25 +209,33 @@
                 rates[key] = rate.add(1.0 / max(MIN_OCCUPANCY_S, occupancy_s))
         return {key: rate.occupancy_s for key, rate in rates.items()}
 
-    def estimate_peer_demand(self, now: float) -> dict[str, load_shedder.Demand]:
+    def estimate_peer_demand(
+        self, now: float, connected: ConnectedPeers = None
+    ) -> dict[str, load_shedder.Demand]:
         """Estimates the demand at all other nodes, by service.
 
         It is extrapolated from the peers that reported recently. Root requests arrive
         at nodes of all services alike, so these peers are a random sample.
 
         :param now: time of the event loop, in seconds.
+        :param connected: the connected peers; None to find them.
         """
+        if connected is None:
+            connected = self.get_connected_peers()
         totals = self._demand_totals
         totals.update(
             {
-                address: peer.slot_demand
-                for address, peer in self._peers.peers.items()
-                if now - peer.reported_at <= MAX_REPORT_AGE_S and peer.reports_slots
+                peer.address: peer.slot_demand
+                for peer in connected
+                if now - peer.reported_at <= MAX_REPORT_AGE_S
+                and peer.handles_load_requests
             }
         )
         if not totals.report_count:
             return {}
-        ratio = max(1.0, self._peers.estimate_live_count() / totals.report_count)
+        ratio = max(
+            1.0, self._peers.estimate_live_count(connected) / totals.report_count
+        )
         demand: dict[str, dict[int, float]] = {}
         for (service, rank), slots in totals.totals.items():
             sampled_slots = slots / frames.DEMAND_SCALE
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/peer_demand.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/peer_demand.py
@@ -43,18 +43,15 @@
             self._replace(previous_reports[address], NO_DEMAND)
 
     def _replace(self, previous: SlotDemand, report: SlotDemand) -> None:
+        totals = self._totals
         for key, slots in report.items():
-            change = slots - previous.get(key, 0)
-            if change:
-                self._add(key, change)
+            previous_slots = previous.get(key, 0)
+            if slots != previous_slots:
+                total = totals.get(key, 0) + slots - previous_slots
+                if total:
+                    totals[key] = total
+                else:
+                    del totals[key]
         if previous.keys() != report.keys():
-            for key, slots in previous.items():
-                if slots and key not in report:
-                    self._add(key, -slots)
-
-    def _add(self, key: tuple[str, int], change: int) -> None:
-        total = self._totals.get(key, 0) + change
-        if total:
-            self._totals[key] = total
-        else:
-            del self._totals[key]
+            remaining = dict.fromkeys(previous.keys() - report.keys(), 0)
+            self._replace({key: previous[key] for key in remaining}, remaining)
