--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -182,6 +182,8 @@
     :ivar service_time_s: average service time of its endpoint, in seconds.
     :ivar own_times_s: own times at its endpoint by route, in seconds.
     :ivar utilization: arriving work over the work that its endpoint can do.
+    :ivar highest_rank_utilization: part of it that requests of rank 0 cause; None if
+        it is not known.
     :ivar slot_demand: slots demanded at the peer, in thousandths, by service and rank;
         replaced by each report, never changed.
     :ivar reported_at: time of the event loop of its last load report, in seconds.
@@ -190,6 +192,8 @@
     :ivar unreachable_since: time of the event loop since which it cannot be reached,
         in seconds; None while it is connected.
     :ivar announced_stop: whether its process has said that it is about to stop.
+    :ivar is_endpoint_open: whether its endpoint accepts new requests, also as a lame
+        duck, whether or not the peer is connected.
     :ivar on_service_change: called when a node state names another service than the
         state before.
     """
@@ -213,13 +217,15 @@
         self.service_time_s = 0.0
         self.own_times_s: dict[str, float] = {}
         self.utilization = 0.0
+        self.highest_rank_utilization: float | None = None
         self.slot_demand: dict[tuple[str, int], int] = {}
         self.reported_at = float("-inf")
         self.report_interval_s = DEFAULT_REPORT_INTERVAL_S
         self.sent_since_report = 0
         self.unreachable_since: float | None = None
         self.announced_stop = False
-        self.on_service_change: Callable[[], None] = _ignore
+        self.is_endpoint_open = False
+        self.on_service_change: Callable[[], None] = lambda: None
         self._left_endpoint: tuple[str, int] | None = None
         self._has_endpoint = False
         self._observer = observer
@@ -282,10 +288,7 @@
     @property
     def takes_requests(self) -> bool:
         """Whether the peer's endpoint accepts new requests, also as a lame duck."""
-        if not self._has_endpoint:
-            return False
-        state = self.state
-        return (state.accepting or state.lame_duck) and self.connected
+        return self.is_endpoint_open and self.connected
 
     @property
     def usable_slots(self) -> float:
@@ -381,6 +384,9 @@
                 self._left_endpoint = endpoint
             # A peer that has restarted may not know that its endpoint will leave.
             self._has_endpoint = endpoint != self._left_endpoint
+            self.is_endpoint_open = self._has_endpoint and (
+                message.accepting or message.lame_duck
+            )
             self.zone = message.zone
             self.own_times_s = {
                 route: own_us / 1e6 for route, own_us, _ in message.route_times
@@ -402,6 +408,8 @@
         if report.interval_ms:
             self.report_interval_s = report.interval_ms / 1000
         self.utilization = report.utilization / frames.UTILIZATION_SCALE
+        highest_rank = report.highest_rank_utilization / frames.UTILIZATION_SCALE
+        self.highest_rank_utilization = highest_rank if highest_rank >= 0.0 else None
         demand_keys = self.state.demand_keys if self.state is not None else []
         self.slot_demand = dict(zip(demand_keys, report.slot_demand, strict=False))
 
@@ -495,7 +503,3 @@
         self._reconnect_at = 0.0
         self.unreachable_since = None
         self._observer.handle_peer_event(self, "connected")
-
-
-def _ignore() -> None:
-    pass
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections_test.py
@@ -56,6 +56,24 @@
         peer_set_test.run(check)
 
 
+class TestLoadReport:
+    """Figures follow each load report, not only the rarer node states."""
+
+    def test_utilization_by_the_highest_rank_follows_reports(self) -> None:
+        async def check() -> None:
+            peer, _ = await connect_peer()
+            peer.handle_message(build_node_state())
+            report = frames.LoadReport(0, 0, 0, 700, [], highest_rank_utilization=300)
+            peer.handle_message(report)
+            assert peer.highest_rank_utilization == 0.3
+            older_version = frames.LoadReport(0, 0, 0, 700, [])
+            peer.handle_message(older_version)
+            assert peer.highest_rank_utilization is None
+            peer.close()
+
+        peer_set_test.run(check)
+
+
 async def connect_peer() -> tuple[connections.Peer, peer_set_test.SilentServer]:
     """Connects to a node that has not sent its state yet."""
     loop = asyncio.get_running_loop()
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
@@ -53,14 +53,16 @@
         :param now: time of the event loop, in seconds.
         :param elapsed_s: time in seconds since the last update.
         """
-        peer_demand = self._endpoints.estimate_peer_demand(now)
-        self._occupancies_s = self._endpoints.compute_occupancies_s(now)
+        connected = self._endpoints.get_connected_peers()
+        peer_demand = self._endpoints.estimate_peer_demand(now, connected)
+        self._occupancies_s = self._endpoints.compute_occupancies_s(now, connected)
         self._required_slots.clear()
         self._extend_demand_keys()
         highest_rank: dict[str, float] = {}
         if any(shedder.is_correcting for shedder in self._shedders.values()):
             highest_rank = self._endpoints.get_highest_rank_utilizations()
-        for service, (slots, utilization) in self._endpoints.get_loads().items():
+        loads = self._endpoints.get_loads(connected)
+        for service, (slots, utilization) in loads.items():
             self._get_shedder(service).update(
                 elapsed_s,
                 slots,
