Fair shares: bounded cost at the coordinator, and tests of refusals

Cause: the coordinator sorted the sums of all customers for each reply, and nothing tested the exchange without quotas or the fields of a refusal.

Change: the largest are selected without sorting all, and with more than 2,000 sums a reply is kept for 0.5 s. Tests of the exchange, the log fields, the trace and a return.

--- a/packages/catkintiller-operator/src/catkintiller_operator/request_trace_test.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/request_trace_test.py
@@ -55,6 +55,22 @@
         assert "the endpoint responded that it did not run the request" in cause
         assert "no retry: the retry budget of this node was used up" in cause
 
+    def test_refusal_by_share_names_its_figures(self) -> None:
+        fields = {
+            "reason": "share_exceeded",
+            "customer": "north",
+            "rank": 1,
+            "limited_by": "deep",
+            "share": 0.25,
+            "sums_age_ms": 210,
+        }
+        event = request_trace.Event(1.0, "a", "route: Request refused.", fields)
+        cause = request_trace.describe_cause([event])
+        assert "customer north, rank 1, service deep, share 0.25" in cause
+        assert "210 ms old" in cause
+        fields["sums_age_ms"] = None
+        assert "the node alone" in request_trace.describe_cause([event])
+
     def test_no_line(self) -> None:
         assert "no line" in request_trace.describe_cause([])
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/shares/demand_sums.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/shares/demand_sums.py
@@ -4,15 +4,20 @@
 in whole thousandths of a slot, so that the sums stay exact.
 """
 
+import heapq
 from typing import NamedTuple
 
 from ..quotas import demand_totals
-from . import demand_table
+from . import demand_table, water_filling
 
 # A node reports every 0.36 s; the reports of a node that was lost count until this age.
 REPORT_KEPT_S = 1.0
 MAX_RANK_COUNT = 8  # services and ranks in one reply, those with most demand first
-REPLY_KEPT_S = 0.1  # time for which the same reply is sent to all nodes
+# Time for which the same reply is sent to all nodes; with thousands of customers it
+# takes milliseconds to build.
+REPLY_KEPT_S = 0.1
+LARGE_REPLY_KEPT_S = 0.5
+LARGE_SUM_COUNT = 2000
 TotalsByCustomer = dict[str, int]
 
 
@@ -44,23 +49,33 @@
 
     def get_totals(self, now: float) -> list[demand_totals.DemandEntry]:
         """Returns the sums of the largest customers of each limited rank."""
-        if now - self._reply_built_at >= REPLY_KEPT_S:
+        sum_count = sum(len(totals) for totals in self._sums.values())
+        is_large = sum_count > LARGE_SUM_COUNT
+        kept_s = LARGE_REPLY_KEPT_S if is_large else REPLY_KEPT_S
+        if now - self._reply_built_at >= kept_s:
             self._reply_built_at = now
             self._drop_expired(now)
             self._reply = self._build_reply()
         return self._reply
 
     def _build_reply(self) -> list[demand_totals.DemandEntry]:
-        largest = sorted(
-            self._sums.items(), key=lambda item: sum(item[1].values()), reverse=True
+        by_demand = sorted(
+            ((sum(totals.values()), key, totals) for key, totals in self._sums.items()),
+            key=lambda entry: entry[0],
+            reverse=True,
         )
         reply = []
-        for (service, rank), totals in largest[:MAX_RANK_COUNT]:
-            demands = [
-                (total / demand_table.SLOT_SCALE, service, rank, name)
-                for name, total in totals.items()
-            ]
-            reply += demand_table.build_entries(demands, demand_table.REPORTED_COUNT)
+        for total, (service, rank), totals in by_demand[:MAX_RANK_COUNT]:
+            # One more than are named, since the others may be among the largest.
+            largest = heapq.nlargest(
+                demand_table.REPORTED_COUNT + 1, totals, key=totals.__getitem__
+            )
+            names = [name for name in largest if name != water_filling.OTHERS]
+            names = names[: demand_table.REPORTED_COUNT]
+            reply += [(service, rank, name, totals[name]) for name in names]
+            others = total - sum(totals[name] for name in names)
+            if others > 0:
+                reply.append((service, rank, water_filling.OTHERS, others))
         return reply
 
     def _drop_expired(self, now: float) -> None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/shares/shares_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/shares/shares_test.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from .. import data
+from ..membership import coordinator_order
+from ..quotas import quota_sync
 from . import demand_sums, demand_table, reservations, water_filling
 
 KEY = ("deep", 1)
@@ -152,3 +155,48 @@
         assert len(book._ends) == reservations.MAX_RESERVATION_COUNT
         book.drop_expired(100.0)
         assert book.is_empty
+
+
+class FakePeers:
+    """No peers: the node follows itself."""
+
+    def __init__(self) -> None:
+        self.peers = {}
+        self.coordinator_order = coordinator_order.CoordinatorOrder("n1")
+
+
+class TestExchangeWithoutQuotas:
+    """Customers without quotas: no sums at all, or messages without a limit."""
+
+    def play(self, table: demand_table.DemandTable) -> list:
+        """Returns the sums that the node gets."""
+        received = []
+        sync = quota_sync.QuotaSync(
+            None,
+            "n1",
+            FakePeers(),
+            lambda: True,
+            random.Random(1),
+            None,
+            lambda: table.get_report(16),
+            received.append,
+            demand_sums.DemandSums(),
+            lambda: table.has_demand,
+        )
+        customer = data.Customer("a", (b"digest",))
+        sync.set_config(data.Config(1, (), (), None, b"", (customer,)))
+        sync._log_change = lambda change: None
+        sync.update_members(0.0)
+        sync.tick()
+        return received
+
+    def test_no_message_without_a_limited_service(self) -> None:
+        assert self.play(demand_table.DemandTable()) == []
+
+    def test_sums_return_while_a_service_is_limited(self) -> None:
+        table = demand_table.DemandTable()
+        table.set_limited([KEY], 0.1)
+        table.record(*KEY, "a", 1.0)
+        table.update(0.1)
+        [sums] = self.play(table)
+        assert [entry[:3] for entry in sums] == [(*KEY, "a")]
