Played loads of fair shares follow the directory of endpoints

Change: their stand-in for the directory has the same calls. Result: tests of routing, shares and membership pass.

--- a/packages/catkintiller-relay/src/catkintiller_relay/shares/played_load_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/shares/played_load_test.py
@@ -44,13 +44,20 @@
     def __init__(self, world: "World") -> None:
         self._world = world
 
-    def estimate_peer_demand(self, now: float) -> dict[str, dict[int, float]]:
+    def get_connected_peers(self) -> None:
+        """Returns nothing: the other methods do not look at peers."""
+
+    def estimate_peer_demand(
+        self, now: float, connected: None
+    ) -> dict[str, dict[int, float]]:
         """Returns the demand at the other nodes, some steps ago."""
         world = self._world
         ratio = 1.0 - 1.0 / len(world.nodes)
         return {SERVICE: {k: v * ratio for k, v in world.reported[0].items()}}
 
-    def compute_occupancies_s(self, now: float) -> dict[tuple[str, str], float]:
+    def compute_occupancies_s(
+        self, now: float, connected: None
+    ) -> dict[tuple[str, str], float]:
         """Returns the time for which a request holds a slot."""
         return {(SERVICE, ROUTE.name): SLOT_S}
 
@@ -58,7 +65,7 @@
         """Returns nothing, like a directory of nodes of an older version."""
         return {}
 
-    def get_loads(self) -> dict[str, tuple[float, float]]:
+    def get_loads(self, connected: None) -> dict[str, tuple[float, float]]:
         """Returns slots and utilization."""
         return {SERVICE: (self._world.slots, self._world.utilization)}
 
