--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/body_budget.py
@@ -0,0 +1,63 @@
+"""Memory limit that all bodies at a node share, whether received, held or being sent.
+
+Handles many large bodies that arrive at the same time, some of them slowly: without a
+common limit, each of them is small enough and together they exceed the memory.
+"""
+
+# Part of the memory limit of the process that bodies may take.
+MEMORY_SHARE = 0.25
+# Part of the budget that clients' requests leave to bodies from peers and to responses.
+# Nodes whose budgets are full of their own clients' bodies could otherwise not take
+# bodies from each other until those requests time out.
+CLIENT_SHARE = 2 / 3
+BYTES_PER_MB = 1024 * 1024
+
+
+class BodyBudget:
+    """Bytes that bodies take, with a limit.
+
+    :ivar limit_bytes: bytes that all bodies may take together.
+    :ivar used_bytes: bytes that they take now.
+    :ivar refused_count: reservations that were refused.
+    """
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.used_bytes = 0
+        self.refused_count = 0
+
+    def reserve(self, count: int) -> bool:
+        """Reserves room; returns whether there was enough.
+
+        :param count: number of bytes.
+        """
+        return self._reserve_up_to(count, self.limit_bytes)
+
+    def reserve_for_client(self, count: int) -> bool:
+        """Reserves room for a body of a client; a part is left for other bodies.
+
+        :param count: number of bytes.
+        """
+        return self._reserve_up_to(count, int(self.limit_bytes * CLIENT_SHARE))
+
+    def release(self, count: int) -> None:
+        """Gives room back.
+
+        :param count: number of bytes.
+        """
+        self.used_bytes -= count
+
+    def _reserve_up_to(self, count: int, limit_bytes: int) -> bool:
+        if self.used_bytes + count > limit_bytes:
+            self.refused_count += 1
+            return False
+        self.used_bytes += count
+        return True
+
+
+def create_budget(memory_mb: int) -> BodyBudget:
+    """Creates the budget of all bodies of a process.
+
+    :param memory_mb: memory limit of the process, in megabytes.
+    """
+    return BodyBudget(int(memory_mb * BYTES_PER_MB * MEMORY_SHARE))
--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
@@ -1,100 +1,48 @@
 """HTTP/1.1 server that receives and sends complete messages.
 
-A request is passed to the handler when its body is complete, and a response is written
-as a whole; bodies are not streamed.
+A request without a body is passed to the handler when its head is complete. One with a
+body is first checked by its head: it is refused, or its body is read and it is then
+passed to the handler. A response is written as a whole.
 """
 
 import asyncio
 import collections
+import contextlib
 from collections.abc import Callable
-from typing import Any
 
 import httptools
 
 from .. import data
+from . import body_budget, http_head, http_request, incoming_body
 
 MAX_PIPELINED_REQUESTS = 4
-REASON_PHRASES = {
-    200: b"OK",
-    400: b"Bad Request",
-    401: b"Unauthorized",
-    404: b"Not Found",
-    408: b"Request Timeout",
-    413: b"Content Too Large",
-    429: b"Too Many Requests",
-    431: b"Request Header Fields Too Large",
-    501: b"Not Implemented",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-}
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
-_EXPECT_HEADER = b"expect"
-
-Headers = list[tuple[bytes, bytes]]
-
-
-class Request:
-    """A complete HTTP request.
-
-    :ivar target: path and query as sent.
-    :ivar headers: name and value pairs; names in lower case, values as sent.
-    :ivar keep_alive: whether the connection may stay open after the response.
-    :ivar head_received_at: time of the event loop when the head was complete,
-        in seconds.
-    """
-
-    __slots__ = (
-        "head_received_at",
-        "body",
-        "headers",
-        "keep_alive",
-        "method",
-        "target",
-    )
-
-    def __init__(self, method: bytes, target: bytes, headers: Headers) -> None:
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = b""
-        self.keep_alive = True
-        self.head_received_at = 0.0
-
-    def get_header(self, name: bytes) -> bytes | None:
-        """Returns the first value of a header, or None if it is absent.
-
-        :param name: name in lower case.
-        """
-        for header_name, value in self.headers:
-            if header_name == name:
-                return value
-        return None
-
-    def get_headers(self, name: bytes) -> list[bytes]:
-        """Returns all values of a header.
-
-        :param name: name in lower case.
-        """
-        return [value for header_name, value in self.headers if header_name == name]
 
+# Rest of a refused body that is discarded before the connection is closed.
+MAX_CLOSING_DISCARD_BYTES = 1024 * 1024
+CLOSING_DISCARD_TIMEOUT_S = 2.0
+BODY_FAILURE_HEADERS = {incoming_body.BodyFailure.NO_ROOM: b"Retry-After: 1\r\n"}
 
+Headers = http_head.Headers
+Request = http_request.Request
 Handler = Callable[["ServerConnection", Request], None]
 
 
 class ServerConnection(asyncio.Protocol):
     """A client's connection; responses are sent in the order of the requests.
 
-    One request at a time is active, that is, passed to the handler. Pipelined requests
-    wait until its response is sent.
+    One request at a time is active, that is, checked or handled. Pipelined requests
+    wait until its response is sent; a body among them is not read until its turn.
 
     :param server: server with the handler and the limits of all its connections.
-    :ivar receive_started_at: time of the event loop when a request that is not yet
-        complete began to arrive, in seconds.
+    :ivar receive_started_at: time of the event loop when a request whose head is not
+        yet complete began to arrive, in seconds.
+    :ivar body_received_at: time of the event loop when bytes of a body last arrived,
+        in seconds.
     :ivar idle_since: time of the event loop when the connection became idle, in
         seconds.
-    :ivar pending: set by the handler; its ``cancel()`` is called if the connection is
-        lost before the response is sent.
+    :ivar pending: set by the handler; it is told if the connection is lost before the
+        response is sent, or if the body cannot be read.
     """
 
     def __init__(self, server: "HttpServer") -> None:
@@ -104,17 +52,18 @@
         self._pipelined: collections.deque[Request] = collections.deque()
         self._active_request: Request | None = None
         self._closing = False
+        self._discardable_bytes = 0
         self._target = b""
         self._headers: Headers = []
         self._received_bytes = 0
-        self._body_chunks: list[bytes] = []
         self._partial_request: Request | None = None
         self._receiving = False
         self._reading_paused = False
         self._input_rejected = False
         self.receive_started_at = 0.0
+        self.body_received_at = 0.0
         self.idle_since = 0.0
-        self.pending: Any = None
+        self.pending: http_request.PendingResponse | None = None
 
     @property
     def busy(self) -> bool:
@@ -126,6 +75,12 @@
         """Whether a request has been received in part."""
         return self._receiving
 
+    @property
+    def _arriving_body(self) -> incoming_body.IncomingBody | None:
+        """Body whose head was the last one that arrived, while it is incomplete."""
+        request = self._partial_request
+        return None if request is None else request.incoming_body
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Registers the connection with the server."""
         self._transport = transport
@@ -137,6 +92,9 @@
         self._server.connections.discard(self)
         self._transport = None
         self._closing = True
+        for request in (self._active_request, self._partial_request, *self._pipelined):
+            if request is not None and request.incoming_body is not None:
+                request.incoming_body.discard()
         self._pipelined.clear()
         pending, self.pending = self.pending, None
         if pending is not None:
@@ -145,6 +103,7 @@
     def data_received(self, received: bytes) -> None:
         """Feeds received bytes to the parser; rejects what it cannot parse."""
         if self._closing or self._input_rejected:
+            self._discard(received)
             return
         if not self._receiving:
             self._receiving = True
@@ -154,6 +113,8 @@
             if self._received_bytes > self._server.limits.max_header_bytes + 65536:
                 self.reject(431)
                 return
+        else:
+            self.body_received_at = self._server.loop.time()
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserUpgrade:
@@ -165,7 +126,6 @@
         """Resets the parser state for a new request."""
         self._target = b""
         self._headers = []
-        self._body_chunks = []
         self._received_bytes = 0
         self._receiving = True
 
@@ -178,34 +138,34 @@
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Validates the complete head and sends ``100 Continue`` if requested."""
+        """Validates the complete head; starts to decide on a request with a body."""
+        if self._closing or self._input_rejected:
+            return
         parser = self._parser
         request = Request(parser.get_method(), self._target, self._headers)
         request.head_received_at = self._server.loop.time()
         request.keep_alive = parser.should_keep_alive()
-        self._partial_request = request
-        header_bytes = sum(len(name) + len(value) + 4 for name, value in self._headers)
-        if header_bytes + len(self._target) > self._server.limits.max_header_bytes:
+        limits = self._server.limits
+        framing = http_head.parse_framing(self._headers)
+        if framing.header_bytes + len(self._target) > limits.max_header_bytes:
             self.reject(431)
             return
-        if not is_framing_unambiguous(self._headers):
+        if not framing.is_valid:
             self.reject(400)
             return
-        content_length = request.get_header(b"content-length")
-        if content_length and int(content_length) > self._server.limits.max_body_bytes:
-            self.reject(413)
-            return
+        self._partial_request = request
         self._received_bytes = 0
-        if request.get_header(_EXPECT_HEADER) is not None and not self._active_request:
-            self._transport.write(CONTINUE_RESPONSE)
+        if framing.declared_bytes != 0:
+            self._begin_body(request, framing)
 
     def on_body(self, chunk: bytes) -> None:
-        """Appends a part of the body; rejects a body above the size limit."""
-        self._received_bytes += len(chunk)
-        if self._received_bytes > self._server.limits.max_body_bytes:
-            self.reject(413)
+        """Adds a part of the body; ends a request whose body cannot be read."""
+        body = self._arriving_body
+        if body is None:
             return
-        self._body_chunks.append(chunk)
+        failure = body.append(chunk)
+        if failure is not None and self._partial_request is self._active_request:
+            self._fail_body(failure)
 
     def on_message_complete(self) -> None:
         """Activates the complete request, or queues it behind the active one.
@@ -215,22 +175,48 @@
         request, self._partial_request = self._partial_request, None
         self._receiving = False
         self._received_bytes = 0
-        if request is None or self._closing or self._input_rejected:
+        if self._closing:
+            if self._transport is not None:
+                self._transport.close()
+            return
+        if request is None or self._input_rejected:
+            return
+        body = request.incoming_body
+        if body is not None:
+            self._complete_body(request, body)
             return
-        if self._body_chunks:
-            request.body = b"".join(self._body_chunks)
-            self._body_chunks = []
         if self._active_request is not None:
             self._pipelined.append(request)
-            if (
-                len(self._pipelined) >= MAX_PIPELINED_REQUESTS
-                and not self._reading_paused
-            ):
-                self._reading_paused = True
-                self._transport.pause_reading()
+            self._update_reading()
             return
         self._start(request)
 
+    def reserve_body(self) -> bool:
+        """Reserves room for the body of the active request, as far as it is known.
+
+        :returns: whether there is room, or there is no body.
+        """
+        body = self._active_request.incoming_body
+        return body is None or body.reserve_declared()
+
+    def read_body(self) -> None:
+        """Reads the body of the active request, which is accepted by its head.
+
+        Sends ``100 Continue`` if the client waits for it. The request is passed to the
+        handler when its body is complete.
+        """
+        request = self._active_request
+        body = request.incoming_body
+        body.is_accepted = True
+        if body.is_complete:
+            self._handle_complete(request, body)
+            return
+        if body.awaits_continue:
+            body.expects_continue = False
+            self._transport.write(CONTINUE_RESPONSE)
+        self.body_received_at = self._server.loop.time()
+        self._update_reading()
+
     def send_response(self, head: bytes, body: bytes, *, close: bool = False) -> None:
         """Sends the response to the active request and activates the next one.
 
@@ -242,6 +228,10 @@
         self.pending = None
         if self._transport is None or request is None:
             return
+        request_body = request.incoming_body
+        if request_body is not None:
+            close = close or not request_body.is_rest_short
+            request_body.discard()
         closes_after = self._server.closing or (
             self._input_rejected and not self._pipelined
         )
@@ -250,14 +240,12 @@
         self._transport.write(b"".join((head, head_end, body)))
         self.idle_since = self._server.loop.time()
         if is_last:
-            self._closing = True
-            self._transport.close()
+            self._close_after_response(request)
             return
         if self._pipelined:
             self._start(self._pipelined.popleft())
-        if self._reading_paused and len(self._pipelined) < MAX_PIPELINED_REQUESTS:
-            self._reading_paused = False
-            self._transport.resume_reading()
+        if self._reading_paused:
+            self._update_reading()
 
     def send_status(
         self,
@@ -275,7 +263,7 @@
         :param close: whether to close the connection after this response.
         """
         self.send_response(
-            build_head(status, len(body), extra_headers), body, close=close
+            http_head.build_head(status, len(body), extra_headers), body, close=close
         )
 
     def reject(self, status: int) -> None:
@@ -289,14 +277,40 @@
         if self._closing:
             return
         self._server.record_rejection(status)
+        arriving, self._partial_request = self._partial_request, None
         if self._active_request is not None:
             # The active request still gets its response; further input is ignored.
             self._input_rejected = True
+            if arriving is not None and arriving is self._active_request:
+                self._fail_body(incoming_body.BodyFailure(status))
+            elif self._pipelined and self._pipelined[-1] is arriving:
+                self._pipelined.pop().incoming_body.discard()
             return
-        self._closing = True
-        head = build_head(status, 0, b"Connection: close\r\n")
-        self._transport.write(head + b"\r\n")
-        self._transport.close()
+        body = None if arriving is None else arriving.incoming_body
+        if body is None or not body.is_discarded:
+            head = http_head.build_head(status, 0, b"Connection: close\r\n")
+            self._transport.write(head + b"\r\n")
+        self._close_after_response(arriving)
+
+    def check_timeouts(self, now: float) -> None:
+        """Closes the connection if it is idle, or slow in sending, for too long.
+
+        :param now: time of the event loop in seconds.
+        """
+        limits = self._server.limits
+        body = self._arriving_body
+        if self._closing:
+            return
+        if body is not None and (body.is_accepted or body.is_discarded):
+            if now - self.body_received_at > limits.idle_timeout_s:
+                self.reject(408)
+        elif self.busy:
+            return
+        elif self._receiving:
+            if now - self.receive_started_at > limits.header_timeout_s:
+                self.reject(408)
+        elif now - self.idle_since > limits.idle_timeout_s:
+            self.close_idle()
 
     def close_idle(self) -> None:
         """Closes the connection unless a request is active."""
@@ -304,9 +318,109 @@
             self._closing = True
             self._transport.close()
 
+    def _begin_body(self, request: Request, framing: http_head.Framing) -> None:
+        """Checks a request with a body by its head, when its turn has come."""
+        limits = self._server.limits
+        request.incoming_body = incoming_body.IncomingBody(
+            self._server.budget,
+            framing.declared_bytes,
+            limits.max_body_bytes,
+            expects_continue=framing.expects_continue,
+        )
+        if (framing.declared_bytes or 0) > limits.max_body_bytes:
+            self.reject(413)
+            return
+        if self._active_request is not None:
+            self._pipelined.append(request)
+            self._update_reading()
+            return
+        self._start(request)
+
+    def _complete_body(
+        self, request: Request, body: incoming_body.IncomingBody
+    ) -> None:
+        body.is_complete = True
+        if request is self._active_request and body.is_accepted:
+            self._handle_complete(request, body)
+        elif self._active_request is None:
+            self.idle_since = self._server.loop.time()
+
+    def _handle_complete(
+        self, request: Request, body: incoming_body.IncomingBody
+    ) -> None:
+        request.body = body.take()
+        self._server.handler(self, request)
+
     def _start(self, request: Request) -> None:
         self._active_request = request
-        self._server.handler(self, request)
+        body = request.incoming_body
+        if body is None:
+            self._server.handler(self, request)
+            return
+        if body.failure is incoming_body.BodyFailure.TOO_LARGE:
+            self.send_status(413)
+            return
+        self._server.check_head(self, request)
+        self._update_reading()
+
+    def _fail_body(self, failure: incoming_body.BodyFailure) -> None:
+        """Ends the active request because its body cannot be read to its end."""
+        request = self._active_request
+        request.incoming_body.failure = failure
+        request.keep_alive = False
+        if self.pending is not None:
+            self.pending.fail_body(failure)
+        else:
+            self.send_status(failure.value, BODY_FAILURE_HEADERS.get(failure, b""))
+
+    def _update_reading(self) -> None:
+        """Pauses reading while a body waits for its turn or for the decision on it."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        body = self._arriving_body
+        is_body_undecided = (
+            body is not None and not body.is_accepted and not body.is_discarded
+        )
+        pauses = not self._closing and (
+            is_body_undecided or len(self._pipelined) >= MAX_PIPELINED_REQUESTS
+        )
+        if pauses == self._reading_paused:
+            return
+        self._reading_paused = pauses
+        if pauses:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def _close_after_response(self, request: Request | None) -> None:
+        """Closes the connection; a body that still arrives is discarded before.
+
+        If it were closed with unread bytes, the client would get a reset, possibly
+        before it has read the response.
+        """
+        self._closing = True
+        body = None if request is None else request.incoming_body
+        if body is None or body.is_complete or self._transport.is_closing():
+            self._transport.close()
+            return
+        body.discard()
+        self._discardable_bytes = MAX_CLOSING_DISCARD_BYTES
+        self._update_reading()
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._server.loop.call_later(CLOSING_DISCARD_TIMEOUT_S, self._transport.close)
+
+    def _discard(self, received: bytes) -> None:
+        """Discards bytes; closes the connection at the end of the body or the limit."""
+        if not self._closing or self._transport is None:
+            return
+        self._discardable_bytes -= len(received)
+        if self._discardable_bytes <= 0:
+            self._transport.close()
+            return
+        # The parser finds the end of the body; what follows an error has no end.
+        with contextlib.suppress(httptools.HttpParserError):
+            self._parser.feed_data(received)
 
 
 class HttpServer:
@@ -315,6 +429,9 @@
     :param handler: called with the connection and each complete request.
     :param limits: limits on the size and the duration of requests.
     :param record_rejection: called with the status code for each rejected message.
+    :param budget: memory limit that all bodies share.
+    :param check_head: called with a request that has a body when its head is complete;
+        it calls ``read_body`` of the connection or sends a response, at once or later.
     :ivar closing: whether each connection is closed after its next response.
     """
 
@@ -324,11 +441,15 @@
         handler: Handler,
         limits: data.ClientLimits,
         record_rejection: Callable[[int], None],
+        budget: body_budget.BodyBudget,
+        check_head: Handler | None = None,
     ) -> None:
         self.loop = loop
         self.handler = handler
         self.limits = limits
         self.record_rejection = record_rejection
+        self.budget = budget
+        self.check_head = check_head or accept_head
         self.connections: set[ServerConnection] = set()
         self.closing = False
         self._server: asyncio.Server | None = None
@@ -354,19 +475,8 @@
 
         :param now: time of the event loop in seconds.
         """
-        idle_timeout_s = self.limits.idle_timeout_s
-        header_timeout_s = self.limits.header_timeout_s
         for connection in list(self.connections):
-            if connection.busy:
-                continue
-            if connection.receiving:
-                if (
-                    now - connection.receive_started_at
-                    > header_timeout_s + idle_timeout_s
-                ):
-                    connection.reject(408)
-            elif now - connection.idle_since > idle_timeout_s:
-                connection.close_idle()
+            connection.check_timeouts(now)
 
     def close_idle(self) -> None:
         """Closes the connections that have no active request."""
@@ -379,35 +489,10 @@
             self._server.close()
 
 
-def build_head(status: int, body_bytes: int, extra_headers: bytes = b"") -> bytes:
-    """Builds the head of a response, without the empty line at the end.
-
-    :param status: HTTP status code.
-    :param body_bytes: length of the body in bytes.
-    :param extra_headers: encoded header lines, each with its line end.
-    """
-    reason_phrase = REASON_PHRASES.get(status, b"Status")
-    return b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n%b" % (
-        status,
-        reason_phrase,
-        body_bytes,
-        extra_headers,
-    )
-
-
-def is_framing_unambiguous(headers: Headers) -> bool:
-    """Returns whether the headers define the end of the body unambiguously.
-
-    Conflicting length headers could be used for request smuggling. Exactly one Host
-    header is required as well.
-    """
-    content_lengths = [value for name, value in headers if name == b"content-length"]
-    transfer_encodings = [
-        value for name, value in headers if name == b"transfer-encoding"
-    ]
-    hosts = [value for name, value in headers if name == b"host"]
-    if len(hosts) != 1 or len(content_lengths) + len(transfer_encodings) > 1:
-        return False
-    if content_lengths and not content_lengths[0].isdigit():
-        return False
-    return not transfer_encodings or transfer_encodings[0].strip().lower() == b"chunked"
+def accept_head(connection: ServerConnection, request: Request) -> None:
+    """Accepts each request by its head if there is room for its body."""
+    if connection.reserve_body():
+        connection.read_body()
+    else:
+        failure = incoming_body.BodyFailure.NO_ROOM
+        connection.send_status(failure.value, BODY_FAILURE_HEADERS[failure])
--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1_test.py
@@ -5,7 +5,7 @@
 import pytest
 
 from .. import data
-from . import http1
+from . import body_budget, http1
 
 LIMITS = data.ClientLimits(2000, 5000, 0.2, 0.3)
 TIMEOUT_S = 5.0
@@ -36,7 +36,9 @@
 
     async def run() -> bytes:
         loop = asyncio.get_running_loop()
-        server = http1.HttpServer(loop, handle, limits, lambda status: None)
+        server = http1.HttpServer(
+            loop, handle, limits, lambda status: None, body_budget.BodyBudget(100_000)
+        )
         await server.listen("127.0.0.1:0")
         port = server.port
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -170,7 +172,13 @@
 
         async def run() -> None:
             loop = asyncio.get_running_loop()
-            server = http1.HttpServer(loop, handle, LIMITS, lambda status: None)
+            server = http1.HttpServer(
+                loop,
+                handle,
+                LIMITS,
+                lambda status: None,
+                body_budget.BodyBudget(100_000),
+            )
             await server.listen("127.0.0.1:0")
             _, writer = await asyncio.open_connection("127.0.0.1", server.port)
             writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -114,6 +114,11 @@
         if self._transport is not None:
             self._transport.write(frames.encode(message))
 
+    def cancel(self, number: int) -> None:
+        """Cancels an attempt whose result is no longer needed, if it has none yet."""
+        if self.outstanding.pop(number, None) is not None:
+            self.send(frames.Cancel(number))
+
     def probe(self, now: float) -> None:
         """Requests a load report unless a request has no reply yet.
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -9,6 +9,7 @@
 import asyncio
 
 from .. import data
+from ..ingress import body_budget
 from ..serving import local_endpoint
 from . import frames, peer_observer
 
@@ -165,8 +166,10 @@
         loop: asyncio.AbstractEventLoop,
         endpoint: local_endpoint.LocalEndpoint,
         observer: peer_observer.PeerObserver,
+        budget: body_budget.BodyBudget,
     ) -> None:
         self._loop = loop
+        self.budget = budget
         self._connections: dict[IncomingConnection, None] = {}
         self.local_endpoint = endpoint
         self.observer = observer
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from ..ingress import body_budget
 from . import frames, peer_server
 from .frames_test import CountingObserver
 
@@ -23,7 +24,9 @@
 ) -> tuple[peer_server.PeerServer, list[RecordingConnection]]:
     """Builds a server with connections."""
     loop = asyncio.new_event_loop()
-    server = peer_server.PeerServer(loop, None, CountingObserver())
+    server = peer_server.PeerServer(
+        loop, None, CountingObserver(), body_budget.BodyBudget(1_000_000)
+    )
     loop.close()
     connections = [RecordingConnection(server) for _ in range(connection_count)]
     for connection in connections:
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set_test.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from .. import data, node_test
+from ..ingress import body_budget
 from ..routing import subsetting
 from . import connections, frames, peer_server, peer_set
 from .frames_test import CountingObserver
@@ -192,7 +193,9 @@
         async def check() -> None:
             loop = asyncio.get_running_loop()
             observer = RecordingObserver()
-            server = peer_server.PeerServer(loop, None, observer)
+            server = peer_server.PeerServer(
+                loop, None, observer, body_budget.BodyBudget(1_000_000)
+            )
             listener = await loop.create_server(
                 lambda: peer_server.IncomingConnection(server), "127.0.0.1", 0
             )
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -7,7 +7,7 @@
 
 from . import data, interfaces
 from .crashes import crash_reporter
-from .ingress import http1
+from .ingress import body_budget, http1
 from .membership import (
     config_role,
     config_sync,
@@ -20,13 +20,7 @@
     store_watcher,
 )
 from .quotas import quota_sync
-from .routing import (
-    call_graph,
-    edge_sync,
-    endpoint_directory,
-    forwarder,
-    subsetting,
-)
+from .routing import call_graph, edge_sync, endpoint_directory, forwarder, subsetting
 from .serving import (
     announcements,
     endpoint_pool,
@@ -126,8 +120,9 @@
             log,
         )
         header_names = platform.header_names
+        self._body_budget = body_budget.create_budget(settings.memory_mb)
         self._pool = endpoint_pool.EndpointConnectionPool(
-            loop, settings.endpoint, header_names
+            loop, settings.endpoint, header_names, self._body_budget
         )
         self._notices = notice_handler.NoticeHandler(
             log,
@@ -180,8 +175,11 @@
         self._state_builder = node_state.NodeStateBuilder(
             settings, self._tracker, self._local_endpoint, self._forwarder.admission
         )
-        self._peer_server = peer_server.PeerServer(loop, self._local_endpoint, self)
+        self._peer_server = peer_server.PeerServer(
+            loop, self._local_endpoint, self, self._body_budget
+        )
         self._outbound_server = self._create_server(self._forwarder.handle_request)
+        self._outbound_server.check_head = self._forwarder.check_head
         self._admin_server = self._create_server(self._announcements.handle_request)
         pages = status_pages.StatusPages(
             platform,
@@ -330,7 +328,11 @@
 
     def _create_server(self, handler: http1.Handler) -> http1.HttpServer:
         return http1.HttpServer(
-            self._loop, handler, DEFAULT_LIMITS, self._record_rejection
+            self._loop,
+            handler,
+            DEFAULT_LIMITS,
+            self._record_rejection,
+            self._body_budget,
         )
 
     def _record_rejection(self, status: int) -> None:
@@ -350,6 +352,7 @@
             history.block_count,
             self._quotas.is_coordinator if self._quotas.enabled else None,
             self._quotas.follower_count,
+            self._body_budget.used_bytes,
         )
 
     def _handle_node_record(self, key: str, record: store_watcher.NodeRecord) -> None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
@@ -69,6 +69,13 @@
             self._get_shedder(name)
         return load_shedder.admit_request(self._shedders, rank, required)
 
+    def withdraw_request(self, route: data.Route, service: str, rank: int) -> None:
+        """Takes back the place of an admitted request that is not sent."""
+        required = self._get_required_slots(route.name, service)
+        for name in required:
+            self._get_shedder(name)
+        load_shedder.withdraw_request(self._shedders, rank, required)
+
     def _get_required_slots(self, route: str, service: str) -> dict[str, float]:
         """Returns the slot-seconds that a request needs, by service."""
         required = self._required_slots.get((route, service))
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -10,8 +10,7 @@
 
 from .. import data
 from ..crashes import crash_history, fingerprint
-from ..ingress import http1
-from ..membership import frames
+from ..ingress import http1, incoming_body
 from ..quotas import quota_sync
 from ..serving import local_endpoint
 from ..telemetry import events, metrics
@@ -22,23 +21,19 @@
     endpoint_directory,
     endpoint_selection,
     failure_tracker,
-    quota_gate,
+    head_checker,
+    pending_request,
     request_head,
     request_log,
     retry_after,
     retry_policy,
-    route_table,
 )
 from .pending_request import PendingRequest
 
 MAX_REDISPATCH_COUNT = 2
-EXPIRY_MARGIN_S = 0.01
-MAX_PENDING_COUNT = 6000
-UNAUTHORIZED_HEADERS = b"WWW-Authenticate: Token\r\n"
-MAX_PENDING_BODY_BYTES = 64 * 1024 * 1024
 
 
-class Forwarder:
+class Forwarder(head_checker.HeadDecisionHandler, pending_request.PendingRequestOwner):
     """Forwards the requests that arrive at this node.
 
     :param settings: settings of the process.
@@ -48,7 +43,6 @@
     :param graph: call graph of the routes.
     :param history: requests that may crash endpoints.
     :param quotas: quotas of the customers.
-    :ivar stopping: whether root requests are refused because the node stops.
     """
 
     def __init__(
@@ -67,18 +61,15 @@
     ) -> None:
         self._loop = loop
         self._settings = settings
-        self._header_names = header_names
         self._local_endpoint = endpoint
         self._endpoints = endpoints
         self.admission = admission.AdmissionController(endpoints, graph)
-        self._graph = graph
         self._history = history
         self._metrics = node_metrics
         self._request_log = request_log.RequestLog(
             loop, log, node_metrics, self.admission
         )
         self._rng = rng
-        self._route_table: route_table.RouteTable | None = None
         self._head_builder = request_head.RequestHeadBuilder(
             header_names, settings.service
         )
@@ -86,20 +77,36 @@
             header_names, endpoint.running_requests, graph, loop.time()
         )
         self._retry_policy = retry_policy.RetryPolicy(settings, graph)
-        self._quota_gate = quota_gate.QuotaGate(quotas, self._admit, self._send_refusal)
+        self._head_checker = head_checker.HeadChecker(
+            loop,
+            header_names,
+            self._authenticator,
+            graph,
+            quotas,
+            self.admission,
+            self,
+        )
+        self._quota_gate = self._head_checker.quota_gate
         self._pending_count = 0
-        self._pending_body_bytes = 0
-        self.stopping = False
+        self._stopping = False
 
     @property
     def pending_count(self) -> int:
         """Number of requests that have not been answered yet."""
         return self._pending_count
 
+    @property
+    def stopping(self) -> bool:
+        """Whether root requests are refused because the node stops."""
+        return self._stopping
+
+    @stopping.setter
+    def stopping(self, value: bool) -> None:
+        self._stopping = value
+
     def set_config(self, config: data.Config) -> None:
         """Applies a config."""
-        self._route_table = route_table.RouteTable(config)
-        self._authenticator.set_config(config)
+        self._head_checker.set_config(config)
         self._retry_policy.set_config(config)
         self._request_log.config_version = config.version
 
@@ -107,103 +114,73 @@
         """Returns the number of retries left for root requests by service."""
         return self._retry_policy.get_remaining_retries(now)
 
-    def handle_request(
+    def check_head(
         self, connection: http1.ServerConnection, request: http1.Request
     ) -> None:
-        """Handles a request from a client or from the local endpoint."""
-        pending = PendingRequest(self.handle_client_disconnect, connection, request)
+        """Decides by its head on a request with a body that has yet to be read."""
+        pending = PendingRequest(self, connection, request)
         connection.pending = pending
         self._pending_count += 1
-        self._pending_body_bytes += len(request.body)
-        if self._route_table is None:
-            self._send_refusal(pending, data.RefusalReason.NO_CONFIG)
+        self._head_checker.check(pending)
+
+    def handle_request(
+        self, connection: http1.ServerConnection, request: http1.Request
+    ) -> None:
+        """Handles a complete request from a client or from the local endpoint."""
+        if request.incoming_body is None:
+            self.check_head(connection, request)
+            return
+        pending = connection.pending
+        pending.is_receiving = False
+        now = self._loop.time()
+        if self.is_blocked(pending, now):
+            self.refuse(pending, data.RefusalReason.BLOCKED)
             return
-        route = self._route_table.find(
-            request_head.parse_host(request), request_head.parse_path(request)
+        self._dispatch(pending, now)
+
+    def accept(self, pending: PendingRequest) -> None:
+        """Sends a request to an endpoint, after its body is read if it has one."""
+        now = self._loop.time()
+        pending.expiry_timer = self._loop.call_at(
+            pending.expires_at, self._handle_expiry, pending
         )
-        if route is None:
-            self._release(pending)
-            self._metrics.count("not_found")
-            connection.send_status(404)
+        if pending.request.incoming_body is None:
+            self._dispatch(pending, now)
             return
-        self._process(pending, route)
+        pending.is_receiving = True
+        pending.connection.read_body()
+
+    def is_blocked(self, pending: PendingRequest, now: float) -> bool:
+        """Returns whether a request may not run because it crashes endpoints."""
+        return self._get_standing(pending, now) is crash_history.Standing.BLOCKED
 
     def handle_client_disconnect(self, pending: PendingRequest) -> None:
         """Cancels a request whose client has disconnected."""
+        if pending.is_receiving:
+            self._head_checker.withdraw(pending)
         self._cancel_outstanding(pending)
         self._release(pending)
         self._metrics.count("client_left", f'route="{pending.route.name}"')
 
-    def _process(self, pending: PendingRequest, route: data.Route) -> None:
-        request = pending.request
-        now = self._loop.time()
-        pending.route = route
-        pending.request_id = request.get_header(self._header_names.request_id) or b""
-        sender_wait_s = request_head.parse_deadline_s(
-            request.get_header(self._header_names.deadline)
-        )
-        remaining_s = route.timeout_s if sender_wait_s is None else sender_wait_s
-        deadline = pending.head_received_at + remaining_s
-        route_timeout_at = pending.head_received_at + route.timeout_s
-        pending.expires_at = min(deadline - EXPIRY_MARGIN_S, route_timeout_at)
-        pending.max_attempts = route.max_attempts
-        identity = self._authenticator.identify(request, route, deadline, now)
-        if identity.decision is authentication.Decision.UNAUTHORIZED:
-            self._send_unauthorized(pending)
-            return
-        pending.service = self._route_table.pick_service(route)
-        self._apply_identity(pending, identity, now)
-        if identity.decision is authentication.Decision.PARENT_ENDED:
-            self._send_refusal(pending, data.RefusalReason.PARENT_ENDED)
-            return
-        if now >= pending.expires_at:
-            self._send_refusal(pending, data.RefusalReason.TIMEOUT)
-            return
-        if (
-            self._pending_count > MAX_PENDING_COUNT
-            or self._pending_body_bytes > MAX_PENDING_BODY_BYTES
-        ):
-            self._send_refusal(pending, data.RefusalReason.NO_MEMORY)
-            return
-        if self.stopping and not pending.is_nested_call:
-            self._send_refusal(pending, data.RefusalReason.STOPPING)
-            return
-        if self._get_standing(pending, now) is crash_history.Standing.BLOCKED:
-            self._send_refusal(pending, data.RefusalReason.BLOCKED)
+    def handle_body_failure(
+        self, pending: PendingRequest, failure: incoming_body.BodyFailure
+    ) -> None:
+        """Ends a request whose body cannot be read to its end; it has not run."""
+        self._metrics.count("body_failures", f'reason="{failure.name.lower()}"')
+        self._head_checker.withdraw(pending)
+        if failure is incoming_body.BodyFailure.NO_ROOM:
+            self.refuse(pending, data.RefusalReason.NO_MEMORY)
             return
-        self._quota_gate.enter(pending, now)
+        self._release(pending)
+        self._record_own_response(pending, failure.value, None)
+        pending.connection.send_status(failure.value, close=True)
 
-    def _admit(self, pending: PendingRequest) -> None:
-        """Sends a request to an endpoint unless a service it needs lacks capacity."""
-        now = self._loop.time()
-        if not pending.is_nested_call and not self.admission.admit_request(
-            pending.route, pending.service, pending.rank
-        ):
-            self._send_refusal(pending, data.RefusalReason.CHAIN_OVERLOADED)
-            return
+    def _dispatch(self, pending: PendingRequest, now: float) -> None:
+        """Sends a complete request that was accepted to an endpoint."""
         pending.head = pending.head or self._build_head(pending)
-        pending.expiry_timer = self._loop.call_at(
-            pending.expires_at, self._handle_expiry, pending
-        )
         self._retry_policy.record_first_attempt(pending.service, now)
         self._send_attempt(pending, now)
 
-    def _apply_identity(
-        self, pending: PendingRequest, identity: authentication.Identity, now: float
-    ) -> None:
-        """Sets what follows from the sender of a request, and counts its arrival."""
-        route, parent = pending.route, identity.parent
-        pending.customer = identity.customer
-        pending.is_nested_call = identity.is_nested_call
-        pending.rank = route.rank
-        if identity.customer is not None and identity.customer.rank is not None:
-            pending.rank = identity.customer.rank
-        self._graph.record_arrival(route.name, pending.service, parent)
-        if parent is not None:
-            pending.parent = parent
-            pending.rank = parent.rank
-            parent.begin_call(now)
-
     def _build_head(self, pending: PendingRequest) -> bytes:
         is_enabled = self._authenticator.is_enabled
         customer = pending.customer_name if is_enabled else None
@@ -405,21 +382,24 @@
         self, pending: PendingRequest, reason: data.RefusalReason | None
     ) -> None:
         if not pending.may_have_run:
-            self._send_refusal(pending, reason or data.RefusalReason.NO_ENDPOINT)
+            self.refuse(pending, reason or data.RefusalReason.NO_ENDPOINT)
             return
         self._release(pending)
         self._record_own_response(pending, 502, reason)
         pending.connection.send_status(502)
 
-    def _send_unauthorized(self, pending: PendingRequest) -> None:
-        """Sends a 401 response: the key is missing or not known."""
+    def reject(
+        self, pending: PendingRequest, status: int, headers: bytes = b""
+    ) -> None:
+        """Sends an error response to a request that cannot be handled."""
         self._release(pending)
-        self._metrics.count("unauthorized", f'route="{pending.route.name}"')
-        pending.connection.send_status(401, UNAUTHORIZED_HEADERS)
+        if pending.route is None:
+            self._metrics.count("not_found")
+        else:
+            self._metrics.count("unauthorized", f'route="{pending.route.name}"')
+        pending.connection.send_status(status, headers)
 
-    def _send_refusal(
-        self, pending: PendingRequest, reason: data.RefusalReason
-    ) -> None:
+    def refuse(self, pending: PendingRequest, reason: data.RefusalReason) -> None:
         """Sends a 429 or 503 response with Retry-After: the request has not run."""
         self._release(pending)
         status = 429 if reason is data.RefusalReason.QUOTA_EXCEEDED else 503
@@ -432,13 +412,16 @@
         pending.connection.send_status(status, header)
 
     def _handle_expiry(self, pending: PendingRequest) -> None:
+        if pending.is_receiving:
+            self.handle_body_failure(pending, incoming_body.BodyFailure.TIMEOUT)
+            return
         _, execution = pending.outstanding.get(
             endpoint_directory.LOCAL_NODE, (None, None)
         )
         is_queued = execution is not None and not execution.is_running
         self._cancel_outstanding(pending)
         if is_queued and not pending.may_have_run:
-            self._send_refusal(pending, data.RefusalReason.TIMEOUT)
+            self.refuse(pending, data.RefusalReason.TIMEOUT)
             return
         self._release(pending)
         self._record_own_response(pending, 504, data.RefusalReason.TIMEOUT)
@@ -451,8 +434,8 @@
         for connection, execution_or_number in outstanding.values():
             if connection is None:
                 self._local_endpoint.cancel(execution_or_number)
-            elif connection.outstanding.pop(execution_or_number, None) is not None:
-                connection.send(frames.Cancel(execution_or_number))
+            else:
+                connection.cancel(execution_or_number)
 
     def _release(self, pending: PendingRequest) -> None:
         self._quota_gate.cancel(pending)
@@ -460,7 +443,6 @@
             pending.parent.end_call(self._loop.time())
             pending.parent = None
         self._pending_count -= 1
-        self._pending_body_bytes -= len(pending.request.body)
         if pending.expiry_timer is not None:
             pending.expiry_timer.cancel()
             pending.expiry_timer = None
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder.py
@@ -81,6 +81,11 @@
         self._credits[rank] = credit - 1.0 if admitted else credit
         return admitted
 
+    def return_credit(self, rank: int) -> None:
+        """Takes back the decision to admit a root request, which is not sent."""
+        if rank in self._credits:
+            self._credits[rank] = min(1.0, self._credits[rank] + 1.0)
+
     def update(
         self,
         elapsed_s: float,
@@ -156,6 +161,20 @@
     return shedders[limiting].decide(rank)
 
 
+def withdraw_request(
+    shedders: Mapping[str, LoadShedder], rank: int, required_slot_s: Mapping[str, float]
+) -> None:
+    """Takes back the place of a root request that was admitted and is not sent.
+
+    It stays counted as demand: it has asked for the capacity.
+
+    :param shedders: shedders by service.
+    :param required_slot_s: slot-seconds that the request needs, by service.
+    """
+    limiting = min(required_slot_s, key=lambda name: shedders[name].get_share(rank))
+    shedders[limiting].return_credit(rank)
+
+
 def compute_admitted_shares(
     total_demand: Demand, available_slots: float
 ) -> dict[int, float]:
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/pending_request.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/pending_request.py
@@ -1,19 +1,32 @@
 """State of a request between its arrival and its response."""
 
+import abc
 import asyncio
-from collections.abc import Callable
 from typing import Any
 
 from .. import data
-from ..ingress import http1
+from ..ingress import http1, incoming_body
 from ..quotas import customer_account
 from . import call_graph
 
 
+class PendingRequestOwner(abc.ABC):
+    """Handles what happens to the connection of a request before the response."""
+
+    @abc.abstractmethod
+    def handle_client_disconnect(self, pending: "PendingRequest") -> None:
+        """Handles the disconnect of the client."""
+
+    @abc.abstractmethod
+    def handle_body_failure(
+        self, pending: "PendingRequest", failure: incoming_body.BodyFailure
+    ) -> None:
+        """Handles a body that cannot be read to its end."""
+
+
 class PendingRequest:
     """A request that has not been answered yet.
 
-    :ivar on_client_disconnect: called if the client disconnects before the response.
     :ivar expires_at: time of the event loop at which the node sends its own response,
         in seconds.
     :ivar max_attempts: number of attempts that the route allows.
@@ -24,6 +37,8 @@
     :ivar may_have_run: whether the outcome of at least one attempt is unknown.
     :ivar parent: running request that waits for this nested call, if known.
     :ivar is_nested_call: whether an endpoint sent it while it ran another request.
+    :ivar is_admitted: whether a place was taken for it in the admission control.
+    :ivar is_receiving: whether it was accepted by its head and its body still arrives.
     :ivar last_reason: why the last attempt got no response; NO_ENDPOINT before the
         first attempt.
     :ivar rank: importance; 0 is the highest.
@@ -36,14 +51,16 @@
     """
 
     __slots__ = (
+        "_owner",
         "head_received_at",
         "max_attempts",
+        "is_admitted",
         "is_nested_call",
+        "is_receiving",
         "connection",
         "customer",
         "expires_at",
         "fingerprint",
-        "on_client_disconnect",
         "head",
         "last_reason",
         "outstanding",
@@ -65,11 +82,11 @@
 
     def __init__(
         self,
-        on_client_disconnect: Callable[["PendingRequest"], None],
+        owner: PendingRequestOwner,
         connection: http1.ServerConnection,
         request: http1.Request,
     ) -> None:
-        self.on_client_disconnect = on_client_disconnect
+        self._owner = owner
         self.connection = connection
         self.request = request
         self.request_id = b""
@@ -85,7 +102,9 @@
         self.redispatch_count = 0
         self.may_have_run = False
         self.parent: call_graph.RunningRequest | None = None
+        self.is_admitted = False
         self.is_nested_call = False
+        self.is_receiving = False
         self.rank = 0
         self.customer: data.Customer | None = None
         self.quota_ticket: customer_account.Ticket | None = None
@@ -108,4 +127,8 @@
 
     def cancel(self) -> None:
         """Handles the disconnect of the client."""
-        self.on_client_disconnect(self)
+        self._owner.handle_client_disconnect(self)
+
+    def fail_body(self, failure: incoming_body.BodyFailure) -> None:
+        """Handles a body that cannot be read to its end."""
+        self._owner.handle_body_failure(self, failure)
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_policy_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_policy_test.py
@@ -42,7 +42,7 @@
     :param rejecting: those whose endpoints did not run it.
     :param sends: number of attempts.
     """
-    pending = pending_request.PendingRequest(lambda _: None, None, FakeArrival())
+    pending = pending_request.PendingRequest(None, None, FakeArrival())
     pending.route = ROUTE
     pending.service = "stock"
     pending.max_attempts = ROUTE.max_attempts
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
@@ -20,9 +20,10 @@
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 KEEP_ALIVE_MARGIN_S = 1.5
 REMEMBERED_REQUEST_COUNT = 8
-# A body is held up to four times while it is passed on.
 MAX_RESPONSE_BODY_BYTES = 32 * 1024 * 1024
-MAX_BUFFERED_BODY_BYTES = 48 * 1024 * 1024
+# Bodies up to this size are sent in one piece with their heads.
+MAX_JOINED_BODY_BYTES = 32 * 1024
+BODY_PIECE_BYTES = 64 * 1024
 # Bytes of a response outside its body: the head, interim responses, trailers and the
 # framing of chunks, of which small ones have many times the bytes of their content.
 MAX_OVERHEAD_BYTES = 64 * 1024
@@ -52,7 +53,9 @@
     """One request to the endpoint and its response.
 
     :param request_id: identity that the response must repeat.
-    :param message: complete encoded request.
+    :param message: encoded head of the request with the empty line at its end, and any
+        body that is not passed separately.
+    :param body: body that is sent after the message.
     :param on_notice: called with the notice in the response's head, before
         ``on_complete``; not called for a response of another endpoint.
     :ivar on_complete: called once with outcome, reason, status, head and body; None
@@ -63,6 +66,7 @@
     """
 
     __slots__ = (
+        "body",
         "connection",
         "message",
         "on_complete",
@@ -77,8 +81,10 @@
         message: bytes,
         on_complete: CompletionHandler,
         on_notice: NoticeCallback | None = None,
+        body: bytes = b"",
     ) -> None:
         self.request_id = request_id
+        self.body = body
         self.message = message
         self.on_complete: CompletionHandler | None = on_complete
         self.on_notice = on_notice
@@ -127,6 +133,11 @@
         self._reason_phrase = b""
         self._body_chunks: list[bytes] = []
         self._body_bytes = 0
+        self._reserved_bytes = 0
+        self._unsent_body: memoryview | None = None
+        self._writing_paused = False
+        self._sends_body = False
+        self._was_cut_off = False
         self._received_bytes = 0
         self._in_message = False
         self._head_complete = False
@@ -151,6 +162,7 @@
         complete. Otherwise the outcome is unknown.
         """
         self._transport = None
+        self._unsent_body = None
         self._pool.remove(self)
         if self._exchange is None:
             self._drop_body()
@@ -210,6 +222,8 @@
         self._head_complete = True
         self._values = {name.lower(): value for name, value in self._headers}
         exchange = self._exchange
+        if self._sends_body:
+            self._handle_early_head()
         if exchange is None or exchange.on_notice is None:
             return
         status = self._parser.get_status_code()
@@ -226,11 +240,10 @@
         if self._exchange is None:
             return
         self._body_bytes += len(chunk)
-        self._pool.buffered_body_bytes += len(chunk)
-        if (
-            self._body_bytes > MAX_RESPONSE_BODY_BYTES
-            or self._pool.buffered_body_bytes > MAX_BUFFERED_BODY_BYTES
-        ):
+        has_room = self._pool.budget.reserve(len(chunk))
+        if has_room:
+            self._reserved_bytes += len(chunk)
+        if not has_room or self._body_bytes > MAX_RESPONSE_BODY_BYTES:
             self._fail(data.RefusalReason.NO_MEMORY)
             self.abort()
             return
@@ -260,15 +273,57 @@
         self._received_bytes = 0
         exchange.connection = self
         exchange.started_at = now
+        body = exchange.body
+        if len(body) <= MAX_JOINED_BODY_BYTES:
+            self._transport.write(exchange.message + body)
+            return
         self._transport.write(exchange.message)
+        self._sends_body = True
+        self._unsent_body = memoryview(body)
+        self._send_pieces()
+
+    def pause_writing(self) -> None:
+        """Stops sending the body until the endpoint has read more of it."""
+        self._writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Continues to send the body."""
+        self._writing_paused = False
+        self._send_pieces()
 
     def abort(self) -> None:
         """Aborts the connection and drops the outstanding exchange."""
         self._exchange = None
+        self._unsent_body = None
         self._drop_body()
         if self._transport is not None:
             self._transport.abort()
 
+    def _send_pieces(self) -> None:
+        """Sends the body in pieces, as fast as the endpoint reads it."""
+        while self._unsent_body is not None and not self._writing_paused:
+            piece = self._unsent_body[:BODY_PIECE_BYTES]
+            rest = self._unsent_body[BODY_PIECE_BYTES:]
+            self._unsent_body = rest if rest else None
+            self._transport.write(piece)
+
+    def _handle_early_head(self) -> None:
+        """Sends no more of the body if the endpoint already responds to the request.
+
+        The connection is not used again: the endpoint would take the next bytes for
+        the rest of the body.
+        """
+        exchange = self._exchange
+        if exchange is None or self._parser.get_status_code() < 200:
+            return
+        if self._is_response_to(exchange):
+            self._sends_body = False
+            is_unsent = self._unsent_body is not None
+            self._was_cut_off = is_unsent or bool(
+                self._transport and self._transport.get_write_buffer_size()
+            )
+            self._unsent_body = None
+
     def _has_body_length(self) -> bool:
         values = self._values
         return b"content-length" in values or b"transfer-encoding" in values
@@ -340,13 +395,17 @@
         keep_alive = headers.get(b"keep-alive")
         if keep_alive is not None:
             self.idle_timeout_s = parse_keep_alive_s(keep_alive)
-        if reusable and self.idle_timeout_s > 0 and self.usable:
+        if self._was_cut_off:
+            if self._transport is not None:
+                self._transport.abort()
+        elif reusable and self.idle_timeout_s > 0 and self.usable:
             self._pool.release(self)
         elif self._transport is not None:
             self._transport.close()
 
     def _drop_body(self) -> None:
-        self._pool.buffered_body_bytes -= self._body_bytes
+        reserved_bytes, self._reserved_bytes = self._reserved_bytes, 0
+        self._pool.budget.release(reserved_bytes)
         self._body_bytes = 0
         self._body_chunks = []
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client_test.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from .. import data
+from ..ingress import body_budget
 from . import endpoint_client, endpoint_pool, response_notices
 
 HEADERS = data.HeaderNames(
@@ -36,6 +37,11 @@
     body: bytes
 
 
+def build_budget() -> body_budget.BodyBudget:
+    """Builds a budget that the bodies of the tests do not exceed."""
+    return body_budget.BodyBudget(48 * 1024 * 1024)
+
+
 async def read_request(reader: asyncio.StreamReader) -> bytes:
     """Reads a request without a body and returns its request ID."""
     head = await reader.readuntil(b"\r\n\r\n")
@@ -56,7 +62,9 @@
         server = await asyncio.start_server(script, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         loop = asyncio.get_running_loop()
-        pool = endpoint_pool.EndpointConnectionPool(loop, f"127.0.0.1:{port}", HEADERS)
+        pool = endpoint_pool.EndpointConnectionPool(
+            loop, f"127.0.0.1:{port}", HEADERS, build_budget()
+        )
         completions = []
         for number in range(request_count):
             completed = loop.create_future()
@@ -231,7 +239,7 @@
             server.close()
             await server.wait_closed()
             pool = endpoint_pool.EndpointConnectionPool(
-                loop, f"127.0.0.1:{port}", HEADERS
+                loop, f"127.0.0.1:{port}", HEADERS, build_budget()
             )
             completed = loop.create_future()
             pool.send(
@@ -283,7 +291,7 @@
             port = server.sockets[0].getsockname()[1]
             loop = asyncio.get_running_loop()
             pool = endpoint_pool.EndpointConnectionPool(
-                loop, f"127.0.0.1:{port}", HEADERS
+                loop, f"127.0.0.1:{port}", HEADERS, build_budget()
             )
             outcomes = []
             for _ in range(2):
@@ -354,7 +362,7 @@
         )
         assert endpoint.closed
         assert endpoint.sent_bytes <= max_sent_bytes
-        assert pool.buffered_body_bytes == 0
+        assert pool.budget.used_bytes == 0
 
     def test_head_line(self) -> None:
         self.check(HEAD + b"X-Long: ", b"a", MAX_SENT_BEFORE_CLOSE_BYTES)
@@ -415,7 +423,7 @@
             await server.wait_closed()
             loop = asyncio.get_running_loop()
             pool = endpoint_pool.EndpointConnectionPool(
-                loop, f"127.0.0.1:{port}", HEADERS
+                loop, f"127.0.0.1:{port}", HEADERS, build_budget()
             )
             if other_connection:
                 pool.add(endpoint_client.EndpointConnection(pool))
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_pool.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_pool.py
@@ -4,6 +4,7 @@
 
 from .. import data
 from ..crashes import crash_detector
+from ..ingress import body_budget
 from . import endpoint_client
 
 CONNECT_TIMEOUT_S = 1.0
@@ -18,10 +19,10 @@
 
     :param address: ``IP:PORT`` of the endpoint.
     :param header_names: names of the headers that the node interprets.
+    :ivar budget: memory limit that all bodies share.
     :ivar crash_detector: decides whether lost requests were lost to a crash.
     :ivar failed_connects: attempts to connect that failed since the last one that
         succeeded.
-    :ivar buffered_body_bytes: bytes of the incomplete bodies of all connections.
     :ivar opened_count: number of connections that were opened.
     :ivar stray_response_count: number of responses that matched no request.
     """
@@ -31,6 +32,7 @@
         loop: asyncio.AbstractEventLoop,
         address: str,
         header_names: data.HeaderNames,
+        budget: body_budget.BodyBudget,
     ) -> None:
         self._loop = loop
         host, _, port = address.rpartition(":")
@@ -40,9 +42,9 @@
         self._open: set[endpoint_client.EndpointConnection] = set()
         self._tasks: set[asyncio.Task] = set()
         self.header_names = header_names
+        self.budget = budget
         self.crash_detector = crash_detector.CrashDetector(loop, self)
         self.failed_connects = 0
-        self.buffered_body_bytes = 0
         self.opened_count = 0
         self.stray_response_count = 0
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
@@ -327,13 +327,12 @@
             attempt.customer,
         )
         header_names = self._pool.header_names
-        message = b"%b%b: %d\r\n%b: %b\r\n\r\n%b" % (
+        message = b"%b%b: %d\r\n%b: %b\r\n\r\n" % (
             attempt.head,
             header_names.deadline,
             int(remaining_s * 1000),
             header_names.target,
             current.instance.encode(),
-            attempt.body,
         )
 
         def handle_completion(
@@ -352,7 +351,11 @@
             self._handle_notice(source, notice)
 
         execution.exchange = endpoint_client.Exchange(
-            attempt.request_id, message, handle_completion, handle_notice
+            attempt.request_id,
+            message,
+            handle_completion,
+            handle_notice,
+            attempt.body,
         )
         self._sent_count += 1
         self._running[execution] = None
--- a/packages/catkintiller-relay/src/catkintiller_relay/telemetry/gauges.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/telemetry/gauges.py
@@ -21,6 +21,7 @@
     :param is_quota_coordinator: whether the node follows itself as the coordinator of
         the quotas; None without quotas.
     :param quota_follower_count: number of nodes that follow it, itself included.
+    :param body_bytes: bytes that bodies take or have reserved.
     """
 
     config_version: int | None
@@ -32,6 +33,7 @@
     block_count: int
     is_quota_coordinator: bool | None
     quota_follower_count: int
+    body_bytes: int
 
 
 def set_gauges(
@@ -57,6 +59,7 @@
     node_metrics.set_gauge("pending", "", values.pending_count)
     node_metrics.set_gauge("crash_suspects", "", values.suspect_count)
     node_metrics.set_gauge("blocked_requests", "", values.block_count)
+    node_metrics.set_gauge("body_bytes", "", values.body_bytes)
     if values.is_quota_coordinator is not None:
         followers = values.quota_follower_count
         node_metrics.set_gauge("quota_coordinator", "", values.is_quota_coordinator)
