--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/body_budget.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/body_budget.py
@@ -9,7 +9,10 @@
 # Part of the budget that clients' requests leave to bodies from peers and to responses.
 # Nodes whose budgets are full of their own clients' bodies could otherwise not take
 # bodies from each other until those requests time out.
-CLIENT_SHARE = 2 / 3
+CLIENT_SHARE = 0.8
+# Bodies up to this size may take the whole budget: calls between services are not
+# refused because of uploads.
+SMALL_BODY_BYTES = 4096
 BYTES_PER_MB = 1024 * 1024
 
 
@@ -33,11 +36,14 @@
         """
         return self._reserve_up_to(count, self.limit_bytes)
 
-    def reserve_for_client(self, count: int) -> bool:
+    def reserve_for_client(self, count: int, total_bytes: int) -> bool:
         """Reserves room for a body of a client; a part is left for other bodies.
 
         :param count: number of bytes.
+        :param total_bytes: size of the body with them.
         """
+        if total_bytes <= SMALL_BODY_BYTES:
+            return self.reserve(count)
         return self._reserve_up_to(count, int(self.limit_bytes * CLIENT_SHARE))
 
     def take(self, count: int) -> None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
@@ -16,6 +16,7 @@
 from . import body_budget, http_head, http_request, incoming_body
 
 MAX_PIPELINED_REQUESTS = 4
+OWN_BUDGET_BYTES = 1024 * 1024
 MAX_HEAD_EXCESS_BYTES = 64 * 1024
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -427,7 +428,7 @@
     :param handler: called with the connection and each complete request.
     :param limits: limits on the size and the duration of requests.
     :param record_rejection: called with the status code for each rejected message.
-    :param budget: memory limit that all bodies share.
+    :param budget: memory limit that all bodies share; None for one of its own.
     :param check_head: called with a request that has a body when its head is complete;
         it calls ``read_body`` of the connection or sends a response, at once or later.
     :ivar closing: whether each connection is closed after its next response.
@@ -439,14 +440,14 @@
         handler: Handler,
         limits: data.ClientLimits,
         record_rejection: Callable[[int], None],
-        budget: body_budget.BodyBudget,
+        budget: body_budget.BodyBudget | None = None,
         check_head: Handler | None = None,
     ) -> None:
         self.loop = loop
         self.handler = handler
         self.limits = limits
         self.record_rejection = record_rejection
-        self.budget = budget
+        self.budget = budget or body_budget.BodyBudget(OWN_BUDGET_BYTES)
         self.check_head = check_head or accept_head
         self.connections: set[ServerConnection] = set()
         self.closing = False
--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/incoming_body.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/incoming_body.py
@@ -132,7 +132,7 @@
         missing_bytes = total_bytes - self._reserved_bytes
         if missing_bytes <= 0:
             return True
-        if not self._budget.reserve_for_client(missing_bytes):
+        if not self._budget.reserve_for_client(missing_bytes, total_bytes):
             return False
         self._reserved_bytes = total_bytes
         return True
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -180,6 +180,7 @@
         )
         self._outbound_server = self._create_server(self._forwarder.handle_request)
         self._outbound_server.check_head = self._forwarder.check_head
+        self._outbound_server.budget = self._body_budget
         self._admin_server = self._create_server(self._announcements.handle_request)
         pages = status_pages.StatusPages(
             platform,
@@ -328,11 +329,7 @@
 
     def _create_server(self, handler: http1.Handler) -> http1.HttpServer:
         return http1.HttpServer(
-            self._loop,
-            handler,
-            DEFAULT_LIMITS,
-            self._record_rejection,
-            self._body_budget,
+            self._loop, handler, DEFAULT_LIMITS, self._record_rejection
         )
 
     def _record_rejection(self, status: int) -> None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -172,7 +172,9 @@
             self.refuse(pending, data.RefusalReason.NO_MEMORY)
             return
         self._release(pending)
-        self._record_own_response(pending, failure.value, None)
+        is_timeout = failure is incoming_body.BodyFailure.TIMEOUT
+        reason = data.RefusalReason.TIMEOUT if is_timeout else None
+        self._record_own_response(pending, failure.value, reason)
         pending.connection.send_status(failure.value, close=True)
 
     def _dispatch(self, pending: PendingRequest, now: float) -> None:
