--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/body_budget.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/body_budget.py
@@ -10,6 +10,8 @@
 # Nodes whose budgets are full of their own clients' bodies could otherwise not take
 # bodies from each other until those requests time out.
 CLIENT_SHARE = 0.8
+# Part that bodies of clients and peers leave to responses, whose requests have run.
+PEER_SHARE = 0.9
 # Bodies up to this size may take the whole budget: calls between services are not
 # refused because of uploads.
 SMALL_BODY_BYTES = 4096
@@ -29,6 +31,11 @@
         self.used_bytes = 0
         self.refused_count = 0
 
+    @property
+    def peer_limit_bytes(self) -> int:
+        """Bytes up to which bodies from peers are taken."""
+        return int(self.limit_bytes * PEER_SHARE)
+
     def reserve(self, count: int) -> bool:
         """Reserves room; returns whether there was enough.
 
@@ -46,6 +53,13 @@
             return self.reserve(count)
         return self._reserve_up_to(count, int(self.limit_bytes * CLIENT_SHARE))
 
+    def reserve_for_peer(self, count: int) -> bool:
+        """Reserves room for a body from a peer; a part is left for responses.
+
+        :param count: number of bytes; at most ``peer_limit_bytes``.
+        """
+        return self._reserve_up_to(count, self.peer_limit_bytes)
+
     def take(self, count: int) -> None:
         """Counts a body that is in memory already, even above the limit.
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
@@ -60,6 +60,7 @@
         self._received_bytes = 0
         self._partial_request: Request | None = None
         self._receiving = False
+        self._continues_head = False
         self._reading_paused = False
         self._input_rejected = False
         self.receive_started_at = 0.0
@@ -102,6 +103,7 @@
         if self._closing or self._input_rejected:
             self._discard(received)
             return
+        self._continues_head = self._receiving
         if not self._receiving:
             self._receiving = True
             self.receive_started_at = self._server.loop.time()
@@ -111,7 +113,7 @@
             self._parser.feed_data(received)
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self.reject(400)
-        if self._receiving and self._partial_request is None:
+        if self._continues_head and self._partial_request is None:
             self._count_head_bytes(len(received))
 
     def on_message_begin(self) -> None:
@@ -120,6 +122,7 @@
         self._headers = []
         self._received_bytes = 0
         self._receiving = True
+        self._continues_head = False
 
     def on_url(self, url: bytes) -> None:
         """Appends a part of the request target."""
@@ -146,7 +149,6 @@
             self.reject(400)
             return
         self._partial_request = request
-        self._received_bytes = 0
         if framing.declared_bytes != 0:
             self._begin_body(request, framing)
 
@@ -165,8 +167,7 @@
         Reading is paused while too many pipelined requests are queued.
         """
         request, self._partial_request = self._partial_request, None
-        self._receiving = False
-        self._received_bytes = 0
+        self._receiving = self._continues_head = False
         if self._closing:
             if self._transport is not None:
                 self._transport.close()
--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1_bodies_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1_bodies_test.py
@@ -9,6 +9,7 @@
 LIMITS = data.ClientLimits(2000, 500_000, 0.2, 0.3)
 BUDGET_BYTES = 900_000
 TIMEOUT_S = 10.0
+RETURNED_BYTES = 20
 HEAD = b"POST /p HTTP/1.1\r\nHost: x\r\n"
 EXPECT = b"Expect: 100-continue\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -82,7 +83,7 @@
         self, connection: http1.ServerConnection, request: http1.Request
     ) -> None:
         self.requests.append(request)
-        connection.send_status(200, body=request.body[:20])
+        connection.send_status(200, body=request.body[:RETURNED_BYTES])
 
 
 def run(
@@ -157,6 +158,19 @@
 
         run(check, refuse)
 
+    def test_bytes_of_a_body_do_not_count_as_head(self) -> None:
+        async def check(testbed: ServerTestbed) -> None:
+            message = HEAD + b"Content-Length: 150000\r\n\r\n" + b"b" * 150_000
+            testbed.writer.write(message + b"GET /g HTTP/1.1\r\nHo")
+            while not testbed.requests:
+                await asyncio.sleep(0.01)
+            testbed.writer.write(b"st: x\r\n\r\n")
+            assert b" 200 " in await read_head(testbed)
+            await testbed.reader.readexactly(RETURNED_BYTES)
+            assert b" 200 " in await read_head(testbed)
+
+        run(check)
+
     def test_late_decision(self) -> None:
         async def check(testbed: ServerTestbed) -> None:
             body = b"b" * 300_000
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection.py
@@ -155,6 +155,7 @@
         while (
             self._waiting
             and self._transport is not None
+            and not self._transport.is_closing()
             and self._confirmed.done()
             and not self._writing_paused
         ):
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -49,6 +49,10 @@
         """Whether the peer has introduced itself and its version has crash reports."""
         return self._protocol >= frames.CRASH_REPORT_VERSION
 
+    @property
+    def _is_open(self) -> bool:
+        return self._transport is not None and not self._transport.is_closing()
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Sends the node state at once."""
         self._transport = transport
@@ -150,19 +154,19 @@
         holds a part of its own would wait for ever.
         """
         frame_bytes = self._decoder.pending_frame_bytes
-        if not frame_bytes or self._frame_bytes or self._transport is None:
+        if not frame_bytes or self._frame_bytes or not self._is_open:
             return
         budget = self._server.budget
-        frame_bytes = min(frame_bytes, budget.limit_bytes)
+        frame_bytes = min(frame_bytes, budget.peer_limit_bytes)
         self._frame_started_at = self._server.loop.time()
-        if budget.reserve(frame_bytes):
+        if budget.reserve_for_peer(frame_bytes):
             self._frame_bytes = frame_bytes
             return
         self._transport.pause_reading()
         self._server.loop.call_later(ROOM_CHECK_INTERVAL_S, self._retry_reservation)
 
     def _retry_reservation(self) -> None:
-        if self._transport is None:
+        if not self._is_open:
             return
         started_at = self._frame_started_at
         self._transport.resume_reading()
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
@@ -21,6 +21,8 @@
 KEEP_ALIVE_MARGIN_S = 1.5
 REMEMBERED_REQUEST_COUNT = 8
 MAX_RESPONSE_BODY_BYTES = 32 * 1024 * 1024
+# A response up to this size is taken without room: its request has run.
+MAX_UNRESERVED_BODY_BYTES = 64 * 1024
 # Bodies up to this size are sent in one piece with their heads.
 MAX_JOINED_BODY_BYTES = 32 * 1024
 BODY_PIECE_BYTES = 64 * 1024
@@ -240,13 +242,16 @@
         if self._exchange is None:
             return
         self._body_bytes += len(chunk)
-        has_room = self._pool.budget.reserve(len(chunk))
-        if has_room:
-            self._reserved_bytes += len(chunk)
-        if not has_room or self._body_bytes > MAX_RESPONSE_BODY_BYTES:
+        budget = self._pool.budget
+        if self._body_bytes <= MAX_UNRESERVED_BODY_BYTES:
+            budget.take(len(chunk))
+        elif self._body_bytes > MAX_RESPONSE_BODY_BYTES or not budget.reserve(
+            len(chunk)
+        ):
             self._fail(data.RefusalReason.NO_MEMORY)
             self.abort()
             return
+        self._reserved_bytes += len(chunk)
         self._body_chunks.append(chunk)
 
     def on_message_complete(self) -> None:
