--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -7,7 +7,7 @@
 
 from . import data, interfaces, periodic_tasks, shutdown
 from .crashes import crash_reporter
-from .ingress import http1
+from .ingress import body_budget, http1
 from .membership import (
     config_role,
     config_sync,
@@ -114,8 +114,9 @@
             ),
         )
         header_names = platform.header_names
+        self._body_budget = body_budget.create_budget(settings.memory_mb)
         self._pool = endpoint_pool.EndpointConnectionPool(
-            loop, settings.endpoint, header_names
+            loop, settings.endpoint, header_names, self._body_budget
         )
         self._notices = notice_handler.NoticeHandler(
             log,
@@ -169,8 +170,12 @@
         self._state_builder = node_state.NodeStateBuilder(
             settings, self._tracker, self._local_endpoint, self._forwarder.admission
         )
-        self._peer_server = peer_server.PeerServer(loop, self._local_endpoint, self)
+        self._peer_server = peer_server.PeerServer(
+            loop, self._local_endpoint, self, self._body_budget
+        )
         self._outbound_server = self._create_server(self._forwarder.handle_request)
+        self._outbound_server.check_head = self._forwarder.check_head
+        self._outbound_server.budget = self._body_budget
         self._admin_server = self._create_server(self._announcements.handle_request)
         pages = status_pages.StatusPages(
             platform,
@@ -356,6 +361,7 @@
             self._quotas.is_coordinator if self._quotas.enabled else None,
             self._quotas.follower_count,
             self._forwarder.admission.get_customer_shares(),
+            self._body_budget.used_bytes,
         )
 
     def _handle_node_record(self, key: str, record: store_watcher.NodeRecord) -> None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder.py
@@ -132,6 +132,15 @@
         self._customer_credits[key] = credit - 1.0 if admitted else credit
         return admitted
 
+    def return_credit(self, rank: int, customer: str = "") -> None:
+        """Takes back the decision to admit a root request, which is not sent."""
+        name = customer if customer in self._customer_shares.get(rank, {}) else ""
+        if (rank, name) in self._customer_credits:
+            credit = self._customer_credits[rank, name]
+            self._customer_credits[rank, name] = min(1.0, credit + 1.0)
+        elif rank in self._credits:
+            self._credits[rank] = min(1.0, self._credits[rank] + 1.0)
+
     def update(
         self,
         elapsed_s: float,
@@ -278,6 +287,24 @@
     return shedders[limiting].decide(rank, customer, returns=returns)
 
 
+def withdraw_request(
+    shedders: Mapping[str, LoadShedder],
+    rank: int,
+    required_slot_s: Mapping[str, float],
+    customer: str = "",
+) -> None:
+    """Takes back the place of a root request that was admitted and is not sent.
+
+    It stays counted as demand: it has asked for the capacity.
+
+    :param shedders: shedders by service.
+    :param required_slot_s: slot-seconds that the request needs, by service.
+    :param customer: name of its customer; empty without one.
+    """
+    limiting = find_limiting_service(shedders, rank, required_slot_s, customer)
+    shedders[limiting].return_credit(rank, customer)
+
+
 def compute_admitted_shares(
     total_demand: Demand, available_slots: float, highest_rank_slots: float = 0.0
 ) -> dict[int, float]:
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/request_log.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/request_log.py
@@ -80,14 +80,12 @@
         self._count_result(pending, reason_value)
         if not self._log.reserve_line("route", failure=True, reason=reason_value):
             return
-        refusal_fields = _build_customer_fields(pending)
+        refusal_fields = build_customer_fields(pending)
         if crash_count:
             refusal_fields |= {
                 "request": fingerprint.format_fingerprint(pending.fingerprint),
                 "crashes": crash_count,
             }
-        if reason is data.RefusalReason.SHARE_EXCEEDED:
-            refusal_fields |= _build_share_fields(pending)
         self._log.write(
             "route",
             "Request refused." if status in REFUSAL_STATUSES else "Request failed.",
@@ -167,12 +165,12 @@
             )
 
 
-def _build_customer_fields(
+def build_customer_fields(
     pending: pending_request.PendingRequest,
 ) -> dict[str, object]:
-    """Builds the fields of a log line that tell the customer and its quota.
+    """Builds the fields of a log line that tell the customer, its quota and its share.
 
-    The quota is written only if it is the reason of a refusal.
+    The quota and the share are written only if they are the reason of a refusal.
     """
     customer, ticket = pending.customer, pending.quota_ticket
     if customer is None:
@@ -183,6 +181,8 @@
         fields["burst"] = customer.burst
         age_s = ticket.refusal.data_age_s
         fields["age_ms"] = None if age_s is None else round(age_s * 1000)
+    if pending.share_refusal is not None:
+        fields |= _build_share_fields(pending)
     return fields
 
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/share_gate_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/share_gate_test.py
@@ -42,7 +42,7 @@
     def test_refusal_of_a_customer_has_its_figures(self) -> None:
         pending, reason = self.refuse(CUSTOMER)
         assert reason is data.RefusalReason.SHARE_EXCEEDED
-        fields = request_log.build_share_fields(pending)
+        fields = request_log.build_customer_fields(pending)
         assert fields["customer"] == "a"
         assert fields["limited_by"] == played_load_test.SERVICE
         assert 0.0 < fields["share"] < 0.5
--- a/packages/catkintiller-relay/src/catkintiller_relay/telemetry/gauges.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/telemetry/gauges.py
@@ -22,6 +22,7 @@
         the quotas; None without quotas.
     :param quota_follower_count: number of nodes that follow it, itself included.
     :param customer_shares: lowest admitted shares of customers, by service and rank.
+    :param body_bytes: bytes that bodies take or have reserved.
     """
 
     config_version: int | None
@@ -34,6 +35,7 @@
     is_quota_coordinator: bool | None
     quota_follower_count: int
     customer_shares: Mapping[str, Mapping[int, Mapping[str, float]]]
+    body_bytes: int
 
 
 def set_gauges(
@@ -59,6 +61,7 @@
     node_metrics.set_gauge("pending", "", values.pending_count)
     node_metrics.set_gauge("crash_suspects", "", values.suspect_count)
     node_metrics.set_gauge("blocked_requests", "", values.block_count)
+    node_metrics.set_gauge("body_bytes", "", values.body_bytes)
     if values.is_quota_coordinator is not None:
         followers = values.quota_follower_count
         node_metrics.set_gauge("quota_coordinator", "", values.is_quota_coordinator)
