Even load: own zone while it has room, and handing over at full endpoints

Cause: nodes know the load of an endpoint late.

Change: the own zone is preferred while its endpoints have free slots, are less than 2.5 times slower than the fastest endpoint with room and fail about as rarely. Protocol version 5 is unchanged: the mark is a further field that older nodes ignore. Log line and gauges show the occupancy by service.

--- a/packages/catkintiller-relay/src/catkintiller_relay/data.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/data.py
@@ -240,6 +240,7 @@
     CHAIN_OVERLOADED = "chain_overloaded"
     QUEUE_TIMEOUT = "queue_timeout"
     NO_MEMORY = "no_memory"
+    ENDPOINT_FULL = "endpoint_full"
     ENDPOINT_REFUSED = "endpoint_refused"
     ENDPOINT_LEAVING = "endpoint_leaving"
     WRONG_SERVICE = "wrong_service"
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -330,6 +330,7 @@
                 attempt.body,
                 attempt.suspect_crashes,
                 attempt.customer,
+                attempt.may_hand_over,
             )
         )
         return connection, number
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
@@ -124,6 +124,8 @@
         far as the sender knows; 0 if the sender is of an older version.
     :param customer: name of the customer that the request belongs to; empty without one
         or if the sender is of an older version.
+    :param may_hand_over: whether the receiver is to refuse it instead of queueing it;
+        false if the sender is of an older version.
     """
 
     number: int
@@ -138,6 +140,7 @@
     body: bytes
     suspect_crashes: int = 0
     customer: str = ""
+    may_hand_over: bool = False
 
 
 class Cancel(msgspec.Struct, tag=4, array_like=True):
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -126,6 +126,7 @@
             message.body,
             message.suspect_crashes,
             message.customer,
+            message.may_hand_over,
         )
 
         def send_reply(result: local_endpoint.AttemptResult) -> None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -35,11 +35,19 @@
     notice_handler,
     service_times,
 )
-from .telemetry import events, gauges, load_line, metrics, status_pages
+from .telemetry import (
+    events,
+    gauges,
+    load_line,
+    metrics,
+    occupancy_line,
+    status_pages,
+)
 
 ADMISSION_INTERVAL_S = 0.1
 PEER_CHECK_INTERVAL_S = 0.1
 SWEEP_INTERVAL_S = 1.0
+OCCUPANCY_LINE_INTERVAL_S = 10.0
 EDGE_REFRESH_INTERVAL_S = 0.3
 CALL_GRAPH_KEEPER_COUNT = 3
 
@@ -406,6 +414,7 @@
         add(PEER_CHECK_INTERVAL_S, self._check_peers)
         add(EDGE_REFRESH_INTERVAL_S, self._refresh_edges)
         add(SWEEP_INTERVAL_S, self._sweep)
+        add(OCCUPANCY_LINE_INTERVAL_S, self._write_occupancies)
         add(periodic_tasks.EVERY_TICK_S, lambda _now, _elapsed_s: self._log.flush())
 
     def _handle_tick(self, now: float, elapsed_s: float) -> None:
@@ -437,6 +446,12 @@
         self._outbound_server.close_timed_out(now)
         self._crash_reporter.history.drop_expired(now)
         load_line.write_line(self._log, self._local_endpoint, self._forwarder)
+        self._endpoints.sample_occupancy()
+
+    def _write_occupancies(self, now: float, elapsed_s: float) -> None:
+        occupancy_line.write_occupancies(
+            self._log, self.metrics, self._endpoints.occupancy
+        )
 
     async def _introduce_itself(self) -> None:
         """Introduces this node to the members that have not connected to it.
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
@@ -7,6 +7,7 @@
     endpoint_selection,
     failure_tracker,
     load_shedder,
+    occupancy,
     peer_demand,
     peer_occupancies,
 )
@@ -26,6 +27,7 @@
     :param settings: settings of the process.
     :param endpoint: endpoint beside this node.
     :param peers: peers of this node.
+    :ivar occupancy: occupancy of the endpoints by service.
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         self._failure_trackers: dict[str, failure_tracker.FailureTracker] = {}
         self._demand_totals = peer_demand.DemandTotals()
         self._peer_occupancies = peer_occupancies.PeerOccupancies()
+        self.occupancy = occupancy.OccupancyTracker()
 
     def get_peer(self, address: str) -> connections.Peer | None:
         """Returns the peer at an address; None if there is none."""
@@ -142,6 +145,25 @@
         tracker = self._failure_trackers.get(node)
         return 0.0 if tracker is None else tracker.get_ratio(now)
 
+    def sample_occupancy(self) -> None:
+        """Adds a sample of the loads of all endpoints to the occupancy."""
+        loads = [
+            occupancy.EndpointLoad(
+                peer.state.service,
+                peer.load + peer.sent_since_report,
+                peer.usable_slots,
+            )
+            for peer in self._peers.peers.values()
+            if peer.takes_requests
+        ]
+        if self._local_endpoint.accepting:
+            queue = self._local_endpoint.queue
+            service = self._settings.service
+            loads.append(
+                occupancy.EndpointLoad(service, queue.load, queue.usable_slots)
+            )
+        self.occupancy.record_loads(loads)
+
     def get_loads(self) -> dict[str, tuple[float, float]]:
         """Returns the number of slots and the utilization by service.
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_selection.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_selection.py
@@ -1,9 +1,11 @@
-"""Selects the endpoint with the lowest expected latency for a request.
-
-Handles endpoints of one service that differ threefold in speed. If the load of the
-endpoints is known as it was a few milliseconds ago, several of them are compared. With
-many nodes the load is known as it was many requests ago; then all nodes would send to
-the same endpoint that looks free, so only two random ones are compared.
+"""Selects an endpoint for a request, in the own availability zone while it has room.
+
+Handles endpoints of one service that differ threefold in speed, also with one endpoint
+in each zone. If the load of the endpoints is known as it was a few milliseconds ago,
+several of them are compared. With many nodes the load is known as it was many requests
+ago; then all nodes would send to the same endpoint that looks free, so only two random
+ones are compared. If an endpoint turns out to be full, the request may be handed over
+to another one, see :mod:`.handover`.
 """
 
 import hashlib
@@ -14,9 +16,15 @@
 from ..serving import rate_limiter
 
 SAME_ZONE_SAMPLE_COUNT = 3
-OTHER_ZONE_SAMPLE_COUNT = 2
+OTHER_ZONE_SAMPLE_COUNT = 3
 STALE_SAMPLE_COUNT = 1  # in each of both groups
 STALE_AFTER_S = 0.2
+UNKNOWN_AFTER_S = 5.0  # nearly all requests that were counted have ended
+# The own zone is used although another zone has an endpoint that is faster by less than
+# this factor, or that fails less often by no more than this difference.
+MAX_SAME_ZONE_SLOWNESS = 2.5
+MAX_FAILURE_DIFFERENCE = 0.1
+LEAVING_ROOM_RATIO = 0.05  # free slots below which requests begin to leave the zone
 LAME_DUCK_FACTOR = 2.0
 OTHER_ZONE_FACTOR = 1.2  # traffic between availability zones is expensive
 JITTER_RATIO = 0.1
@@ -58,6 +66,13 @@
     rate_limit: float | None = None
     own_address: str = ""
 
+    @property
+    def room(self) -> float:
+        """Number of free slots, as far as the load is known; at least 0."""
+        if self.load_age_s > UNKNOWN_AFTER_S:
+            return max(1.0, self.usable_slots)
+        return max(0.0, self.usable_slots - self.load)
+
     @property
     def address(self) -> str:
         """Address of the node beside the endpoint, the same one at all nodes."""
@@ -99,26 +114,35 @@
 ) -> Candidate | None:
     """Selects an endpoint from random samples of this zone and of the other zones.
 
-    :returns: the one with the lowest expected latency; None if there are no candidates.
+    The own zone is used while its endpoints have room, unless others are much faster
+    or fail less. Otherwise, the one with the lowest expected latency is selected.
+
+    :returns: the selected one; None if there are no candidates.
     """
     same_zone, other_zone = [], []
     age_sum_s = 0.0
     for candidate in candidates:
         (same_zone if candidate.same_zone else other_zone).append(candidate)
         age_sum_s += candidate.load_age_s
-    if not same_zone and not other_zone:
+    count = len(same_zone) + len(other_zone)
+    if not count:
         return None
-    if age_sum_s > STALE_AFTER_S * (len(same_zone) + len(other_zone)):
-        same_zone_count = other_zone_count = STALE_SAMPLE_COUNT
-    else:
-        same_zone_count = SAME_ZONE_SAMPLE_COUNT
-        other_zone_count = OTHER_ZONE_SAMPLE_COUNT
+    if age_sum_s > UNKNOWN_AFTER_S * count:
+        return _select_by_capacity([*same_zone, *other_zone], rng)
+    is_stale = age_sum_s > STALE_AFTER_S * count
     pool = [
-        *sample_candidates(same_zone, same_zone_count, rng),
-        *sample_candidates(other_zone, other_zone_count, rng),
+        *sample_candidates(
+            same_zone, STALE_SAMPLE_COUNT if is_stale else SAME_ZONE_SAMPLE_COUNT, rng
+        ),
+        *sample_candidates(
+            other_zone, STALE_SAMPLE_COUNT if is_stale else OTHER_ZONE_SAMPLE_COUNT, rng
+        ),
     ]
     known_s = [each.service_time_s for each in pool if each.service_time_s is not None]
     default_s = min(known_s, default=DEFAULT_SERVICE_TIME_S)
+    pool = _narrow_by_zone(pool, default_s, rng)
+    if len(pool) == 1:
+        return pool[0]
     return min(
         pool,
         key=lambda candidate: (
@@ -128,6 +152,59 @@
     )
 
 
+def has_alternative(candidates: Iterable[Candidate], selected: Candidate) -> bool:
+    """Returns whether an endpoint other than the selected one seems to have room.
+
+    Then a request that would wait at the selected one is better handed over.
+    """
+    return any(
+        candidate.room >= 1.0 and candidate is not selected for candidate in candidates
+    )
+
+
+def _narrow_by_zone(
+    pool: list[Candidate], default_s: float, rng: random.Random
+) -> list[Candidate]:
+    """Returns the endpoints in this zone if they are to be used, or those with room.
+
+    While the own zone fills up, a growing part of the requests leaves it: if all nodes
+    left it at the same load, they would overload the other zones one after the other.
+    """
+    with_room = [each for each in pool if each.room > 0.0]
+    if not with_room:
+        return pool
+    fastest_s = min(each.service_time_s or default_s for each in with_room)
+    least_failure_ratio = min(each.failure_ratio for each in with_room)
+    preferred = [
+        each
+        for each in with_room
+        if each.same_zone
+        and not each.lame_duck
+        and (each.service_time_s or default_s) <= MAX_SAME_ZONE_SLOWNESS * fastest_s
+    ]
+    failure_ratio = min((each.failure_ratio for each in preferred), default=1.0)
+    if failure_ratio > least_failure_ratio + MAX_FAILURE_DIFFERENCE:
+        return with_room
+    room = sum(each.room for each in preferred)
+    slots = sum(each.usable_slots for each in preferred)
+    if room > rng.random() * LEAVING_ROOM_RATIO * slots:
+        return preferred
+    return with_room
+
+
+def _select_by_capacity(candidates: list[Candidate], rng: random.Random) -> Candidate:
+    """Selects at random in proportion to the capacity, whatever the loads were."""
+    known_s = [each.service_time_s for each in candidates if each.service_time_s]
+    default_s = max(known_s, default=DEFAULT_SERVICE_TIME_S)
+    weights = [
+        max(MIN_SUCCESS_RATIO, 1.0 - each.failure_ratio) ** 2
+        * max(1.0, each.usable_slots)
+        / (each.service_time_s or default_s)
+        for each in candidates
+    ]
+    return rng.choices(candidates, weights)[0]
+
+
 def select_endpoint_for_suspect(
     candidates: Iterable[Candidate], fingerprint: bytes
 ) -> Candidate | None:
--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/even_load_test.py
@@ -0,0 +1,44 @@
+"""Tests of even load: what many nodes reach together, in simulated loads."""
+
+import pytest
+
+from . import even_load_figures, even_load_simulation
+
+DURATION_S = 20.0
+MAX_UNEVEN_RATIO = 0.05
+MAX_P99_RATIO = 1.3  # to a single queue for all endpoints
+
+
+def run(load: str, selection: str) -> even_load_simulation.Figures:
+    """Runs a load with a selection."""
+    return even_load_simulation.Simulation(
+        even_load_figures.LOADS[load], even_load_figures.SELECTIONS[selection]
+    ).run(DURATION_S)
+
+
+class TestEvenLoad:
+    """Four endpoints, one in each zone, that differ threefold in speed."""
+
+    @pytest.mark.parametrize("load", ["fresh", "old", "older", "slow", "crash"])
+    def test_no_request_waits_beside_free_slots(self, load: str) -> None:
+        """Nodes that know loads late overload one endpoint while others are idle."""
+        figures = run(load, "handover")
+        queue = run(load, "queue")
+        assert figures.uneven < MAX_UNEVEN_RATIO
+        assert figures.p99_s <= MAX_P99_RATIO * queue.p99_s
+        assert figures.crossing < 0.4
+
+    def test_lost_reports_are_no_worse_than_random_selection(self) -> None:
+        """Loads that are no longer reported are not taken for the present ones."""
+        figures, at_random = run("lost", "handover"), run("lost", "random")
+        assert figures.in_time >= at_random.in_time
+        assert figures.uneven <= at_random.uneven
+
+    def test_requests_are_not_handed_on_in_overload(self) -> None:
+        """Full endpoints would hand all requests to each other."""
+        assert run("wave", "handover").messages < 2.5
+
+    def test_endpoint_that_rejects_half_gets_few_requests(self) -> None:
+        """Rejections are charged to a retry budget, also in the own zone."""
+        rejected = run("reject", "handover").rejected
+        assert rejected < 0.5 * run("reject", "random").rejected
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -22,6 +22,7 @@
     endpoint_directory,
     endpoint_selection,
     failure_tracker,
+    handover,
     quota_gate,
     request_head,
     request_log,
@@ -210,7 +211,7 @@
         return self._head_builder.build(pending.request, customer)
 
     def _send_attempt(self, pending: PendingRequest, now: float) -> None:
-        candidate = self._select_endpoint(pending, now)
+        candidate, may_hand_over = self._select_endpoint(pending, now)
         if candidate is None:
             self._send_failure(pending, pending.last_reason)
             return
@@ -228,6 +229,7 @@
             pending.request.body,
             self._history.get_crash_count(pending.fingerprint),
             pending.customer_name,
+            may_hand_over,
         )
 
         node = candidate.node
@@ -250,38 +252,25 @@
 
     def _select_endpoint(
         self, pending: PendingRequest, now: float
-    ) -> endpoint_selection.Candidate | None:
-        """Selects the endpoint for an attempt.
+    ) -> tuple[endpoint_selection.Candidate | None, bool]:
+        """Selects the endpoint for an attempt, and whether it may be handed over.
 
         A request that may crash it is not sent while few endpoints are left.
         """
-        candidates = self._get_candidates(pending, now)
+        candidates = handover.get_candidates(self._endpoints, pending, now)
         if self._get_standing(pending, now) is crash_history.Standing.CLEAR:
-            return endpoint_selection.select_endpoint(candidates, self._rng)
+            selected = endpoint_selection.select_endpoint(candidates, self._rng)
+            if selected is None:
+                return None, False
+            self._endpoints.occupancy.record_choice(pending.service, selected)
+            return selected, handover.may_hand_over(pending, candidates, selected)
         if not self._endpoints.can_spare_endpoint(pending.service):
             pending.last_reason = data.RefusalReason.SUSPECT
-            return None
-        return endpoint_selection.select_endpoint_for_suspect(
+            return None, False
+        selected = endpoint_selection.select_endpoint_for_suspect(
             candidates, pending.fingerprint
         )
-
-    def _get_candidates(
-        self, pending: PendingRequest, now: float
-    ) -> list[endpoint_selection.Candidate]:
-        """Returns the endpoints that a request may be sent to.
-
-        When it has reached as many as its route allows, these are the ones that
-        rejected it.
-        """
-        excluded = pending.tried_nodes
-        if pending.has_reached_all_endpoints:
-            excluded = pending.tried_nodes - pending.rejecting_nodes
-        candidates = self._endpoints.get_candidates(
-            pending.service, pending.route.name, excluded, now
-        )
-        if not pending.has_reached_all_endpoints:
-            return candidates
-        return [each for each in candidates if each.node in pending.rejecting_nodes]
+        return selected, False
 
     def _send_hedged_attempt(self, pending: PendingRequest, node: str) -> None:
         """Sends a hedged attempt while the node of the first one is suspect.
@@ -334,10 +323,16 @@
             self._endpoints.record_result(node, now, failure_tracker.FAILED_WEIGHT)
         if outcome is data.Outcome.UNKNOWN:
             pending.may_have_run = True
+        if result.reason is data.RefusalReason.ENDPOINT_FULL:
+            pending.full_nodes.add(node)
         next_step = self._decide_next_step(pending, reached_endpoint, now)
         self._request_log.record_attempt_failure(pending, node, result, next_step.value)
         if next_step is retry_policy.NextStep.WAIT:
             return
+        if next_step is retry_policy.NextStep.HANDOVER:
+            self._metrics.count("handovers", f'service="{pending.service}"')
+            self._send_attempt(pending, now)
+            return
         if (
             next_step is retry_policy.NextStep.RETRY
             or next_step is retry_policy.NextStep.REDISPATCH
@@ -375,6 +370,8 @@
             return retry_policy.NextStep(
                 self._retry_policy.decide_and_charge(pending, now).value
             )
+        if pending.last_reason is data.RefusalReason.ENDPOINT_FULL:
+            return retry_policy.NextStep.HANDOVER
         pending.redispatch_count += 1
         if pending.redispatch_count <= MAX_REDISPATCH_COUNT:
             return retry_policy.NextStep.REDISPATCH
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/pending_request.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/pending_request.py
@@ -20,6 +20,8 @@
     :ivar endpoint_attempt_count: attempts that may have reached an endpoint.
     :ivar reached_nodes: addresses of the nodes beside these endpoints.
     :ivar rejecting_nodes: those of them whose endpoints said that they did not run it.
+    :ivar full_nodes: addresses of the nodes that handed it over because their endpoints
+        were full.
     :ivar redispatch_count: attempts that reached no endpoint.
     :ivar may_have_run: whether the outcome of at least one attempt is unknown.
     :ivar parent: running request that waits for this nested call, if known.
@@ -43,6 +45,7 @@
         "customer",
         "expires_at",
         "fingerprint",
+        "full_nodes",
         "on_client_disconnect",
         "head",
         "last_reason",
@@ -92,6 +95,7 @@
         self.tried_nodes: set[str] = set()
         self.reached_nodes: set[str] = set()
         self.rejecting_nodes: set[str] = set()
+        self.full_nodes: set[str] = set()
         self.outstanding: dict[str, tuple[Any, Any]] = {}
         self.expiry_timer: asyncio.TimerHandle | None = None
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_policy.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_policy.py
@@ -32,6 +32,7 @@
     NO_TIME = RetryDecision.NO_TIME.value
     NO_BUDGET = RetryDecision.NO_BUDGET.value
     REDISPATCH = "not_run_so_elsewhere"
+    HANDOVER = "handed_over"
     WAIT = "runs_elsewhere_too"
     MAY_HAVE_RUN = "may_have_run"
     BLOCKED = "blocked"
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_queue.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_queue.py
@@ -140,6 +140,15 @@
             return 0.0
         return self._rate_limiter.get_delay_s(now)
 
+    def is_full(self, now: float) -> bool:
+        """Returns whether one more request would wait for a slot or the rate limit.
+
+        :param now: time of the event loop in seconds.
+        """
+        if self.queued_count or not self._has_free_slot():
+            return True
+        return not self._rate_limiter.allows(now)
+
     def estimate_wait_s(self, now: float, rank: int, is_nested_call: bool) -> float:
         """Estimates how long an additional request would wait, in seconds."""
         free_slots = self._concurrency_limit - self._running_count
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_queue_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_queue_test.py
@@ -163,3 +163,23 @@
         queue = build_queue(4)
         queue.update_utilization(1.0)
         assert queue.utilization == 0.0
+
+
+class TestIsFull:
+    """Whether a request that may be handed over would wait."""
+
+    def test_full_without_a_free_slot(self) -> None:
+        """A request that may be handed over never waits beside free slots elsewhere."""
+        queue = build_queue(4)
+        for number in range(queue.concurrency_limit):
+            assert not queue.is_full(0.0)
+            offer(queue, str(number))
+        assert queue.is_full(0.0)
+        queue.release_slot(None)
+        assert not queue.is_full(0.0)
+
+    def test_full_without_a_token_of_the_rate_limit(self) -> None:
+        queue = build_queue(4)
+        queue.set_rate_limit(0.0, 1.0)
+        assert queue.is_full(0.0)
+        assert not queue.is_full(2.0)
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
@@ -54,6 +54,7 @@
     :param suspect_crashes: number of crashes of endpoints at which the request ran, as
         far as the sender knows; see :mod:`..crashes.crash_history`.
     :param customer: name of the customer that it belongs to; empty without one.
+    :param may_hand_over: whether it is refused if it would wait.
     """
 
     request_id: bytes
@@ -67,6 +68,7 @@
     body: bytes
     suspect_crashes: int = 0
     customer: str = ""
+    may_hand_over: bool = False
 
 
 class AttemptResult(NamedTuple):
@@ -267,6 +269,9 @@
         :param now: time of the event loop in seconds.
         """
         attempt = execution.attempt
+        if attempt.may_hand_over and self.queue.is_full(now):
+            self._refuse(execution, data.RefusalReason.ENDPOINT_FULL)
+            return
         has_slot, queue_number = self.queue.offer(
             now,
             is_nested_call=attempt.is_nested_call,
