Selection of an endpoint: fewer candidates are built and compared

Cause: get_candidates built up to 24 candidates for each request, of which at most five were compared.

Change: at most four endpoints of the own zone and four of the others are built; the zone rule is one pass over them.

--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
@@ -1,5 +1,7 @@
 """Directory of the endpoints that this node can send requests to."""
 
+import random
+
 from .. import data
 from ..membership import connections, frames, peer_set
 from ..serving import local_endpoint
@@ -18,6 +20,7 @@
 MAX_COUNTED_UTILIZATION = 1.5  # one endpoint with a queue is no overload of all
 MIN_COUNTED_SLOTS = 0.01
 MIN_OCCUPANCY_S = 1e-6
+MAX_SAMPLE_COUNT = 4  # endpoints that are compared in this zone and in the others
 MAX_REPORT_AGE_S = 1.2  # demand reported earlier may precede a burst
 
 
@@ -66,7 +69,12 @@
         self._failure_trackers.pop(node, None)
 
     def get_candidates(
-        self, service: str, route: str, tried_nodes: set[str], now: float
+        self,
+        service: str,
+        route: str,
+        tried_nodes: set[str],
+        now: float,
+        rng: random.Random | None = None,
     ) -> list[endpoint_selection.Candidate]:
         """Returns the endpoints of a service that accept new requests.
 
@@ -74,6 +82,7 @@
 
         :param route: name of the route, whose own times are compared.
         :param tried_nodes: addresses of nodes to leave out.
+        :param rng: draws a sample if there are many endpoints; None returns all.
         """
         candidates = []
         suspects = []
@@ -98,9 +107,7 @@
                 )
             )
         zone = self._settings.zone
-        for address, peer in self._peers.get_service_peers(service).items():
-            if not peer.takes_requests or address in tried_nodes:
-                continue
+        for address, peer in self._get_usable_peers(service, tried_nodes, rng):
             same_zone = peer.zone == zone
             group = suspects if peer.is_suspect(now) else candidates
             group.append(
@@ -119,6 +126,29 @@
             )
         return candidates or suspects
 
+    def _get_usable_peers(
+        self, service: str, tried_nodes: set[str], rng: random.Random | None
+    ) -> list[tuple[str, connections.Peer]]:
+        """Returns the peers of a service that accept new requests, by address.
+
+        :param rng: draws a sample of each of this zone and the other zones; None
+            returns all.
+        """
+        usable = [
+            (address, peer)
+            for address, peer in self._peers.get_service_peers(service).items()
+            if peer.takes_requests and address not in tried_nodes
+        ]
+        if rng is None or len(usable) <= 2 * MAX_SAMPLE_COUNT:
+            return usable
+        zone = self._settings.zone
+        same_zone = [each for each in usable if each[1].zone == zone]
+        other_zone = [each for each in usable if each[1].zone != zone]
+        return [
+            *rng.sample(same_zone, min(MAX_SAMPLE_COUNT, len(same_zone))),
+            *rng.sample(other_zone, min(MAX_SAMPLE_COUNT, len(other_zone))),
+        ]
+
     def can_spare_endpoint(self, service: str) -> bool:
         """Returns whether more than half of a service's endpoints accept requests.
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_selection.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_selection.py
@@ -9,6 +9,7 @@
 """
 
 import hashlib
+import math
 import random
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -157,9 +158,10 @@
 
     Then a request that would wait at the selected one is better handed over.
     """
-    return any(
-        candidate.room >= 1.0 and candidate is not selected for candidate in candidates
-    )
+    for candidate in candidates:
+        if candidate is not selected and candidate.room >= 1.0:
+            return True
+    return False
 
 
 def _narrow_by_zone(
@@ -170,26 +172,29 @@
     While the own zone fills up, a growing part of the requests leaves it: if all nodes
     left it at the same load, they would overload the other zones one after the other.
     """
-    with_room = [each for each in pool if each.room > 0.0]
-    if not with_room:
-        return pool
-    fastest_s = min(each.service_time_s or default_s for each in with_room)
-    least_failure_ratio = min(each.failure_ratio for each in with_room)
-    preferred = [
-        each
-        for each in with_room
-        if each.same_zone
-        and not each.lame_duck
-        and (each.service_time_s or default_s) <= MAX_SAME_ZONE_SLOWNESS * fastest_s
-    ]
-    failure_ratio = min((each.failure_ratio for each in preferred), default=1.0)
-    if failure_ratio > least_failure_ratio + MAX_FAILURE_DIFFERENCE:
+    with_room, preferred = [], []
+    fastest_s = math.inf
+    least_failure_ratio = zone_failure_ratio = 1.0
+    for each in pool:
+        if each.load >= each.usable_slots and each.load_age_s <= UNKNOWN_AFTER_S:
+            continue
+        with_room.append(each)
+        fastest_s = min(fastest_s, each.service_time_s or default_s)
+        least_failure_ratio = min(least_failure_ratio, each.failure_ratio)
+    slowest_s = MAX_SAME_ZONE_SLOWNESS * fastest_s
+    room = slots = 0.0
+    for each in with_room:
+        service_time_s = each.service_time_s or default_s
+        if each.same_zone and not each.lame_duck and service_time_s <= slowest_s:
+            preferred.append(each)
+            zone_failure_ratio = min(zone_failure_ratio, each.failure_ratio)
+            room += each.room
+            slots += each.usable_slots
+    if zone_failure_ratio > least_failure_ratio + MAX_FAILURE_DIFFERENCE:
         return with_room
-    room = sum(each.room for each in preferred)
-    slots = sum(each.usable_slots for each in preferred)
     if room > rng.random() * LEAVING_ROOM_RATIO * slots:
         return preferred
-    return with_room
+    return with_room or pool
 
 
 def _select_by_capacity(candidates: list[Candidate], rng: random.Random) -> Candidate:
@@ -228,4 +233,8 @@
     pool: list[Candidate], max_count: int, rng: random.Random
 ) -> list[Candidate]:
     """Returns a random sample of candidates, all if there are at most max_count."""
-    return pool if len(pool) <= max_count else rng.sample(pool, max_count)
+    if len(pool) <= max_count:
+        return pool
+    if max_count == 1:
+        return [rng.choice(pool)]
+    return rng.sample(pool, max_count)
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -257,8 +257,11 @@
 
         A request that may crash it is not sent while few endpoints are left.
         """
-        candidates = handover.get_candidates(self._endpoints, pending, now)
-        if self._get_standing(pending, now) is crash_history.Standing.CLEAR:
+        is_clear = self._get_standing(pending, now) is crash_history.Standing.CLEAR
+        candidates = handover.get_candidates(
+            self._endpoints, pending, now, self._rng if is_clear else None
+        )
+        if is_clear:
             selected = endpoint_selection.select_endpoint(candidates, self._rng)
             if selected is None:
                 return None, False
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/handover.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/handover.py
@@ -12,6 +12,8 @@
 all are full, requests wait where they are.
 """
 
+import random
+
 from . import endpoint_directory, endpoint_selection, pending_request
 
 MAX_HANDOVER_COUNT = 2
@@ -22,11 +24,14 @@
     endpoints: endpoint_directory.EndpointDirectory,
     pending: pending_request.PendingRequest,
     now: float,
+    rng: random.Random | None,
 ) -> list[endpoint_selection.Candidate]:
     """Returns the endpoints that a request may be sent to.
 
     When it has reached as many as its route allows, these are the ones that rejected
     it. Full endpoints that handed it over get it again only if there is no other.
+
+    :param rng: draws a sample if there are many endpoints; None returns all.
     """
     service, route = pending.service, pending.route.name
     if pending.has_reached_all_endpoints:
@@ -34,7 +39,7 @@
         candidates = endpoints.get_candidates(service, route, excluded, now)
         return [each for each in candidates if each.node in pending.rejecting_nodes]
     excluded = pending.tried_nodes
-    candidates = endpoints.get_candidates(service, route, excluded, now)
+    candidates = endpoints.get_candidates(service, route, excluded, now, rng)
     if candidates or not pending.full_nodes:
         return candidates
     return endpoints.get_candidates(service, route, excluded - pending.full_nodes, now)
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/handover_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/handover_test.py
@@ -35,7 +35,12 @@
         self._loads = loads
 
     def get_candidates(
-        self, service: str, route: str, tried_nodes: set[str], now: float
+        self,
+        service: str,
+        route: str,
+        tried_nodes: set[str],
+        now: float,
+        rng: None = None,
     ) -> list[endpoint_selection.Candidate]:
         """Returns the endpoints that have not been tried."""
         return [
@@ -75,25 +80,29 @@
 
     def test_full_endpoint_is_left_out(self) -> None:
         candidates = handover.get_candidates(
-            FakeDirectory(a=10.0, b=3.0), build_pending("a"), 0.0
+            FakeDirectory(a=10.0, b=3.0), build_pending("a"), 0.0, None
         )
         assert [each.node for each in candidates] == ["b"]
 
     def test_request_waits_at_a_full_endpoint_if_there_is_no_other(self) -> None:
         """The free endpoint left before the request reached it."""
         pending = build_pending("a")
-        candidates = handover.get_candidates(FakeDirectory(a=10.0), pending, 0.0)
+        candidates = handover.get_candidates(FakeDirectory(a=10.0), pending, 0.0, None)
         assert [each.node for each in candidates] == ["a"]
         assert not handover.may_hand_over(pending, candidates, candidates[0])
 
     def test_endpoint_that_failed_is_not_tried_again(self) -> None:
         pending = build_pending("a", tried_nodes={"a", "b"})
-        candidates = handover.get_candidates(FakeDirectory(a=10.0, b=0.0), pending, 0.0)
+        candidates = handover.get_candidates(
+            FakeDirectory(a=10.0, b=0.0), pending, 0.0, None
+        )
         assert [each.node for each in candidates] == ["a"]
 
     def test_request_that_was_rejected_is_sent_to_the_same_endpoints(self) -> None:
         pending = build_pending(
             tried_nodes={"a"}, rejecting_nodes={"a"}, has_reached_all_endpoints=True
         )
-        candidates = handover.get_candidates(FakeDirectory(a=1.0, b=0.0), pending, 0.0)
+        candidates = handover.get_candidates(
+            FakeDirectory(a=1.0, b=0.0), pending, 0.0, None
+        )
         assert [each.node for each in candidates] == ["a"]
