--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -14,7 +14,7 @@
 from ..membership import frames
 from ..quotas import quota_sync
 from ..serving import local_endpoint
-from ..telemetry import events, metrics
+from ..telemetry import customer_counts, events, metrics
 from . import (
     admission,
     authentication,
@@ -49,6 +49,8 @@
     :param graph: call graph of the routes.
     :param history: requests that may crash endpoints.
     :param quotas: quotas of the customers.
+    :param is_current: returns whether keys that are in force here may be honoured.
+    :ivar customer_counts: results of the requests of each customer.
     :ivar stopping: whether root requests are refused because the node stops.
     """
 
@@ -62,6 +64,7 @@
         graph: call_graph.CallGraph,
         history: crash_history.CrashHistory,
         quotas: quota_sync.QuotaSync,
+        is_current: authentication.IsCurrent,
         log: events.EventLog,
         node_metrics: metrics.Metrics,
         rng: random.Random,
@@ -75,8 +78,9 @@
         self._graph = graph
         self._history = history
         self._metrics = node_metrics
+        self.customer_counts = customer_counts.CustomerCounts()
         self._request_log = request_log.RequestLog(
-            loop, log, node_metrics, self.admission
+            loop, log, node_metrics, self.admission, self.customer_counts
         )
         self._rng = rng
         self._route_table: route_table.RouteTable | None = None
@@ -84,7 +88,7 @@
             header_names, settings.service
         )
         self._authenticator = authentication.Authenticator(
-            header_names, endpoint.running_requests, graph, loop.time()
+            header_names, endpoint.running_requests, graph, loop.time(), is_current
         )
         self._retry_policy = retry_policy.RetryPolicy(settings, graph)
         self._quota_gate = quota_gate.QuotaGate(quotas, self._admit, self._send_refusal)
@@ -101,6 +105,7 @@
         """Applies a config."""
         self._route_table = route_table.RouteTable(config)
         self._authenticator.set_config(config)
+        self.customer_counts.set_customers(config.customers)
         self._retry_policy.set_config(config)
         self._request_log.config_version = config.version
 
@@ -154,8 +159,8 @@
             return
         pending.service = self._route_table.pick_service(route)
         self._apply_identity(pending, identity, now)
-        if identity.decision is authentication.Decision.PARENT_ENDED:
-            self._send_refusal(pending, data.RefusalReason.PARENT_ENDED)
+        if identity.decision is not authentication.Decision.ACCEPT:
+            self._send_refusal(pending, identity.decision.reason)
             return
         if now >= pending.expires_at:
             self._send_refusal(pending, data.RefusalReason.TIMEOUT)
@@ -186,7 +191,7 @@
         pending.expiry_timer = self._loop.call_at(
             pending.expires_at, self._handle_expiry, pending
         )
-        self._retry_policy.record_first_attempt(pending.service, now)
+        self._retry_policy.record_first_attempt(pending, now)
         self._send_attempt(pending, now)
 
     def _apply_identity(
@@ -426,8 +431,8 @@
         retry_after_s = retry_after.compute_retry_after_s(
             pending, reason, self._loop.time(), self._history, self._rng
         )
-        self._quota_gate.refund(pending)
         self._record_own_response(pending, status, reason)
+        self._quota_gate.refund(pending)
         header = b"Retry-After: %.3f\r\n" % retry_after_s
         pending.connection.send_status(status, header)
 
