Retries of nested calls go to requests all of whose calls can be completed

Cause: at a service that rejects 55 in 100, the retry budget was spread over the calls of all requests. A request with eight calls there needs about ten retries, the budget holds one or two for each, so nearly every request failed after most of its work.

Change: the first retry of a request's calls needs a budget of twice its remaining calls; its further retries need no more than themselves, and when one of its calls has failed, the others are not retried. Ruled out by a played load: refusing such root requests on arrival.

--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
@@ -39,6 +39,8 @@
     :ivar deadline: time of the event loop by which it must end, in seconds.
     :ivar calls: number of nested calls that it has made, by route and service.
     :ivar customer: name of the customer that it belongs to; empty without one.
+    :ivar has_retries: whether one of its nested calls has been retried.
+    :ivar has_failed_call: whether one of its nested calls failed and was not retried.
     """
 
     __slots__ = (
@@ -48,6 +50,8 @@
         "calls",
         "customer",
         "deadline",
+        "has_failed_call",
+        "has_retries",
         "number",
         "rank",
         "root_id",
@@ -70,6 +74,8 @@
         self.root_id = get_root_id(request_id)
         self.deadline = deadline
         self.calls: dict[tuple[str, str], int] = {}
+        self.has_retries = False
+        self.has_failed_call = False
         self._open_call_count = 0
         self._open_since = 0.0
         self._nested_s = 0.0
@@ -86,6 +92,18 @@
         if not self._open_call_count:
             self._nested_s += now - self._open_since
 
+    def estimate_remaining_calls(self, service: str, expected_calls: float) -> float:
+        """Estimates how many nested calls to a service have not succeeded yet.
+
+        :param expected_calls: mean number of them for each request of its route.
+        :returns: at least the number of calls that have no response yet.
+        """
+        made_count = sum(
+            count for (_, name), count in self.calls.items() if name == service
+        )
+        ended_count = max(0, made_count - self._open_call_count)
+        return max(self._open_call_count, expected_calls - ended_count)
+
     def get_nested_s(self, now: float) -> float:
         """Returns for how many seconds it has waited for nested calls."""
         open_s = now - self._open_since if self._open_call_count else 0.0
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_policy.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_policy.py
@@ -9,7 +9,7 @@
 import enum
 
 from .. import data
-from . import call_graph, pending_request, retry_budget
+from . import call_graph, pending_request, retry_budget, retry_focus
 
 MIN_REMAINING_S = 0.05
 MAX_SEND_COUNT = 6
@@ -71,6 +71,17 @@
         self, pending: pending_request.PendingRequest, now: float
     ) -> RetryDecision:
         """Decides on a retry; charges it and its downstream calls if it is allowed."""
+        decision = self._decide_and_charge(pending, now)
+        if pending.parent is not None:
+            if decision is RetryDecision.ALLOWED:
+                pending.parent.has_retries = True
+            elif not pending.outstanding:
+                pending.parent.has_failed_call = True
+        return decision
+
+    def _decide_and_charge(
+        self, pending: pending_request.PendingRequest, now: float
+    ) -> RetryDecision:
         send_count = pending.endpoint_attempt_count + len(pending.outstanding)
         if pending.has_reached_all_endpoints and (
             not pending.rejecting_nodes or send_count >= MAX_SEND_COUNT
@@ -91,6 +102,9 @@
         costs[pending.service] = costs.get(pending.service, 0.0) + 1.0
         precedence = self._get_precedence(pending)
         budgets = {name: self._get_budget(name) for name in costs}
+        required_retries = self._compute_required_retries(pending)
+        if not budgets[pending.service].allows_retry(now, required_retries, precedence):
+            return False
         for name, cost in costs.items():
             if not budgets[name].allows_retry(now, cost, precedence):
                 return False
@@ -98,6 +112,17 @@
             budgets[name].record_retry(now, cost)
         return True
 
+    def _compute_required_retries(
+        self, pending: pending_request.PendingRequest
+    ) -> float:
+        parent, service = pending.parent, pending.service
+        if parent is None:
+            return 1.0
+        expected_calls = self._graph.get_downstream_calls(parent.route)
+        return retry_focus.compute_required_retries(
+            parent, service, expected_calls.get(service, 0.0)
+        )
+
     def _get_precedence(
         self, pending: pending_request.PendingRequest
     ) -> retry_budget.Precedence:
