--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -57,8 +57,7 @@
     """A connection that this node opened to a peer; requests are sent on it.
 
     :ivar outstanding: attempts without a result, by number in the order of sending.
-    :ivar last_received_at: time of the event loop when bytes last arrived, in
-        seconds.
+    :ivar last_received_at: time of the event loop of the last bytes, in seconds.
     :ivar probed_at: time of the event loop when a probe was sent that got no reply
         yet, in seconds; None without one.
     """
@@ -177,8 +176,7 @@
 
     :param address: address where it accepts connections of other nodes.
     :param hello: message that identifies this node on new connections.
-    :ivar load_known_at: time of the event loop when its load was last reported, in
-        seconds.
+    :ivar load_known_at: time of the event loop of its last load, in seconds.
     :ivar service_time_s: average service time of its endpoint, in seconds.
     :ivar own_times_s: own times at its endpoint by route, in seconds.
     :ivar utilization: arriving work over the work that its endpoint can do.
@@ -338,7 +336,10 @@
     def is_suspect(self, now: float) -> bool:
         """Returns whether the peer is not connected or does not reply to a probe."""
         connection = self._connection
-        return connection is None or connection.get_unanswered_s(now) > SUSPECT_AFTER_S
+        if connection is None:
+            return True
+        probed_at = connection.probed_at
+        return probed_at is not None and now - probed_at > SUSPECT_AFTER_S
 
     def update_load(self, load: int, service_time_us: int) -> None:
         """Sets the load of the peer's endpoint, as the peer reported it.
@@ -424,12 +425,8 @@
         connection = self._connection
         if connection is not None:
             self._check_responsiveness(connection, now)
-        for replaced in list(self._replaced_connections):
-            if (
-                now - replaced.last_received_at > ABORT_AFTER_S
-                or not replaced.outstanding
-            ):
-                replaced.abort()
+        if self._replaced_connections:
+            self._abort_replaced(now)
         if (
             self._connection is None
             and not self._connecting
@@ -440,6 +437,14 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    def _abort_replaced(self, now: float) -> None:
+        for replaced in list(self._replaced_connections):
+            if (
+                now - replaced.last_received_at > ABORT_AFTER_S
+                or not replaced.outstanding
+            ):
+                replaced.abort()
+
     def _check_responsiveness(self, connection: OutgoingConnection, now: float) -> None:
         silence_s = now - connection.last_received_at
         probe_after_s = self.report_interval_s + IDLE_PROBE_MARGIN_S
@@ -447,6 +452,8 @@
             probe_after_s = min(probe_after_s, BUSY_PROBE_AFTER_S)
         if silence_s > probe_after_s:
             connection.probe(now)
+        if connection.probed_at is None:
+            return
         unanswered_s = connection.get_unanswered_s(now)
         if unanswered_s > UNRESPONSIVE_AFTER_S:
             # Results may still arrive on it, but no new requests are sent there.
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -29,6 +29,7 @@
     notice_handler,
     service_times,
 )
+from .shares import share_exchange
 from .telemetry import (
     events,
     gauges,
@@ -116,6 +117,9 @@
             lambda: self._store_watcher.nodes_listed,
             self._rng,
             log,
+            *share_exchange.build_hooks(
+                loop, lambda: self._forwarder.admission.customer_demand
+            ),
         )
         header_names = platform.header_names
         self._pool = endpoint_pool.EndpointConnectionPool(
@@ -359,6 +363,7 @@
             history.block_count,
             self._quotas.is_coordinator if self._quotas.enabled else None,
             self._quotas.follower_count,
+            self._forwarder.admission.get_customer_shares(),
         )
 
     def _handle_node_record(self, key: str, record: store_watcher.NodeRecord) -> None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
@@ -35,6 +35,7 @@
 
     :ivar number: position in the order of starts on this node.
     :ivar rank: rank of the root request that caused it, 0 is highest.
+    :ivar request_id: its ID, which the IDs of its nested calls extend after a dot.
     :ivar root_id: part of the request ID that its nested calls share.
     :ivar deadline: time of the event loop by which it must end, in seconds.
     :ivar calls: number of nested calls that it has made, by route and service.
@@ -54,6 +55,7 @@
         "has_retries",
         "number",
         "rank",
+        "request_id",
         "root_id",
         "route",
     )
@@ -71,6 +73,7 @@
         self.customer = customer
         self.route = route
         self.rank = rank
+        self.request_id = request_id
         self.root_id = get_root_id(request_id)
         self.deadline = deadline
         self.calls: dict[tuple[str, str], int] = {}
@@ -172,6 +175,20 @@
                 closest = (difference_s, number)
         return None if closest is None else self._requests[closest[1]]
 
+    def find_extended(self, request_id: bytes) -> RunningRequest | None:
+        """Finds the running request whose whole ID an ID extends after a dot.
+
+        Requests of other clients may have the same root ID, so that ID alone does not
+        tell for whom a request without a key runs.
+        """
+        related = self._requests_by_root.get(get_root_id(request_id), {})
+        extended = [
+            request
+            for request in related.values()
+            if request_id.startswith(request.request_id + b".")
+        ]
+        return max(extended, key=lambda each: len(each.request_id), default=None)
+
     def find_parent_by_id(self, request_id: bytes) -> RunningRequest | None:
         """Finds the running request whose ID a nested call extends."""
         root_id = get_root_id(request_id)
@@ -273,24 +290,27 @@
         """Returns the mean number of downstream calls, by service and callee."""
         downstream_routes = self._downstream_routes.get(route)
         if downstream_routes is None:
-            downstream_routes = self._compute_downstream_routes(route, 0)
+            downstream_routes = self._compute_downstream_routes(route)
             self._downstream_routes[route] = downstream_routes
         return downstream_routes
 
-    def _compute_downstream_routes(
-        self, route: str, depth: int
-    ) -> dict[tuple[str, str], float]:
+    def _compute_downstream_routes(self, route: str) -> dict[tuple[str, str], float]:
+        """Sums the calls of all paths from a route, one level of calls after another.
+
+        The number of paths grows exponentially with their length where routes call each
+        other, so the paths that lead to the same callee are added up at each level.
+        """
         downstream: dict[tuple[str, str], float] = {}
-        if depth > MAX_CALL_DEPTH:
-            return downstream
-        for edge in self._edges.values():
-            if edge.route != route:
-                continue
-            key = (edge.service, edge.callee)
-            downstream[key] = downstream.get(key, 0.0) + edge.calls
-            for nested_key, calls in self._compute_downstream_routes(
-                edge.callee, depth + 1
-            ).items():
-                nested_calls = edge.calls * calls
-                downstream[nested_key] = downstream.get(nested_key, 0.0) + nested_calls
+        calls_by_route = {route: 1.0}
+        for _ in range(MAX_CALL_DEPTH + 1):
+            next_calls: dict[str, float] = {}
+            for edge in self._edges.values():
+                calls = edge.calls * calls_by_route.get(edge.route, 0.0)
+                if calls:
+                    key = (edge.service, edge.callee)
+                    downstream[key] = downstream.get(key, 0.0) + calls
+                    next_calls[edge.callee] = next_calls.get(edge.callee, 0.0) + calls
+            if not next_calls:
+                break
+            calls_by_route = next_calls
         return downstream
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
@@ -108,6 +108,7 @@
             )
         zone = self._settings.zone
         for address, peer in self._get_usable_peers(service, tried_nodes, rng):
+            state = peer.state
             same_zone = peer.zone == zone
             group = suspects if peer.is_suspect(now) else candidates
             group.append(
@@ -116,12 +117,12 @@
                     peer.load + peer.sent_since_report,
                     peer.usable_slots,
                     peer.own_times_s.get(route),
-                    peer.lame_duck,
+                    state.lame_duck,
                     same_zone,
                     SAME_ZONE_ROUND_TRIP_S if same_zone else OTHER_ZONE_ROUND_TRIP_S,
                     self._get_failure_ratio(address, now),
                     now - peer.load_known_at,
-                    peer.state.rate_limit,
+                    state.rate_limit,
                 )
             )
         return candidates or suspects
@@ -224,6 +225,35 @@
             for name, (total_slots, total_work) in totals.items()
         }
 
+    def get_highest_rank_utilizations(self) -> dict[str, float]:
+        """Returns the utilization by requests of rank 0, by service.
+
+        Services of which an endpoint's node does not report it are left out.
+        """
+        totals: dict[str, tuple[float, float]] = {}
+        unknown = set()
+        for peer in self._peers.peers.values():
+            if not peer.takes_requests:
+                continue
+            reported = peer.state.load_report.highest_rank_utilization
+            if reported < 0:
+                unknown.add(peer.state.service)
+            utilization = min(
+                MAX_COUNTED_UTILIZATION, reported / frames.UTILIZATION_SCALE
+            )
+            _add_utilization(totals, peer.state.service, peer.usable_slots, utilization)
+        if self._local_endpoint.accepting or self._local_endpoint.lame_duck:
+            queue = self._local_endpoint.queue
+            utilization = min(MAX_COUNTED_UTILIZATION, queue.highest_rank_utilization)
+            _add_utilization(
+                totals, self._settings.service, queue.usable_slots, utilization
+            )
+        return {
+            name: work / max(MIN_COUNTED_SLOTS, slots)
+            for name, (slots, work) in totals.items()
+            if name not in unknown
+        }
+
     def compute_occupancies_s(self, now: float) -> dict[tuple[str, str], float]:
         """Computes for how many seconds a request holds a slot, by service and route.
 
@@ -268,3 +298,13 @@
             sampled_slots = slots / frames.DEMAND_SCALE
             demand.setdefault(service, {})[rank] = sampled_slots * ratio
         return demand
+
+
+def _add_utilization(
+    totals: dict[str, tuple[float, float]],
+    service: str,
+    slots: float,
+    utilization: float,
+) -> None:
+    total_slots, total_work = totals.get(service, (0.0, 0.0))
+    totals[service] = (total_slots + slots, total_work + utilization * slots)
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
@@ -51,8 +51,7 @@
     :param head: encoded head without the empty line at its end and without the headers
         for the deadline and the target, which are added here.
     :param body: complete body.
-    :param suspect_crashes: number of crashes of endpoints at which the request ran, as
-        far as the sender knows; see :mod:`..crashes.crash_history`.
+    :param suspect_crashes: known crashes at which it ran, see :mod:`..crashes`.
     :param customer: name of the customer that it belongs to; empty without one.
     :param may_hand_over: whether it is refused if it would wait.
     """
@@ -416,8 +415,10 @@
         if execution.running_request is not None:
             self.running_requests.remove(execution.running_request)
         self.queue.release_slot(service_time_s)
-        self._run_queued()
-        self._run_waiting_suspects(self._loop.time())
+        if not self.queue.is_empty:
+            self._run_queued()
+        if self._suspect_runs.waiting_count:
+            self._run_waiting_suspects(self._loop.time())
 
     def _run_queued(self) -> None:
         """Starts queued attempts while slots and rate limit allow it."""
