--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
@@ -1,5 +1,6 @@
 """Directory of the endpoints that this node can send requests to."""
 
+import random
 from collections.abc import Collection
 
 from .. import data
@@ -9,6 +10,7 @@
     endpoint_selection,
     failure_tracker,
     load_shedder,
+    occupancy,
     peer_demand,
     peer_occupancies,
 )
@@ -19,6 +21,7 @@
 MAX_COUNTED_UTILIZATION = 1.5  # one endpoint with a queue is no overload of all
 MIN_COUNTED_SLOTS = 0.01
 MIN_OCCUPANCY_S = 1e-6
+MAX_SAMPLE_COUNT = 4  # endpoints that are compared in this zone and in the others
 MAX_REPORT_AGE_S = 1.2  # demand reported earlier may precede a burst
 
 ConnectedPeers = Collection[connections.Peer] | None
@@ -31,6 +34,7 @@
     :param settings: settings of the process.
     :param endpoint: endpoint beside this node.
     :param peers: peers of this node.
+    :ivar occupancy: occupancy of the endpoints by service.
     """
 
     def __init__(
@@ -45,6 +49,7 @@
         self._failure_trackers: dict[str, failure_tracker.FailureTracker] = {}
         self._demand_totals = peer_demand.DemandTotals()
         self._peer_occupancies = peer_occupancies.PeerOccupancies()
+        self.occupancy = occupancy.OccupancyTracker()
 
     def get_peer(self, address: str) -> connections.Peer | None:
         """Returns the peer at an address; None if there is none."""
@@ -68,7 +73,12 @@
         self._failure_trackers.pop(node, None)
 
     def get_candidates(
-        self, service: str, route: str, tried_nodes: set[str], now: float
+        self,
+        service: str,
+        route: str,
+        tried_nodes: set[str],
+        now: float,
+        rng: random.Random | None = None,
     ) -> list[endpoint_selection.Candidate]:
         """Returns the endpoints of a service that accept new requests.
 
@@ -76,6 +86,7 @@
 
         :param route: name of the route, whose own times are compared.
         :param tried_nodes: addresses of nodes to leave out.
+        :param rng: draws a sample if there are many endpoints; None returns all.
         """
         candidates = []
         suspects = []
@@ -100,9 +111,7 @@
                 )
             )
         zone = self._settings.zone
-        for address, peer in self._peers.get_service_peers(service).items():
-            if address in tried_nodes or not peer.takes_requests:
-                continue
+        for address, peer in self._get_usable_peers(service, tried_nodes, rng):
             state = peer.state
             same_zone = peer.zone == zone
             group = suspects if peer.is_suspect(now) else candidates
@@ -122,6 +131,29 @@
             )
         return candidates or suspects
 
+    def _get_usable_peers(
+        self, service: str, tried_nodes: set[str], rng: random.Random | None
+    ) -> list[tuple[str, connections.Peer]]:
+        """Returns the peers of a service that accept new requests, by address.
+
+        :param rng: draws a sample of each of this zone and the other zones; None
+            returns all.
+        """
+        usable = [
+            (address, peer)
+            for address, peer in self._peers.get_service_peers(service).items()
+            if peer.takes_requests and address not in tried_nodes
+        ]
+        if rng is None or len(usable) <= 2 * MAX_SAMPLE_COUNT:
+            return usable
+        zone = self._settings.zone
+        same_zone = [each for each in usable if each[1].zone == zone]
+        other_zone = [each for each in usable if each[1].zone != zone]
+        return [
+            *rng.sample(same_zone, min(MAX_SAMPLE_COUNT, len(same_zone))),
+            *rng.sample(other_zone, min(MAX_SAMPLE_COUNT, len(other_zone))),
+        ]
+
     def can_spare_endpoint(self, service: str) -> bool:
         """Returns whether more than half of a service's endpoints accept requests.
 
@@ -152,6 +184,25 @@
         """Returns the peers that requests can be sent to."""
         return self._peers.get_connected_peers()
 
+    def sample_occupancy(self) -> None:
+        """Adds a sample of the loads of all endpoints to the occupancy."""
+        loads = [
+            occupancy.EndpointLoad(
+                peer.state.service,
+                peer.load + peer.sent_since_report,
+                peer.usable_slots,
+            )
+            for peer in self._peers.peers.values()
+            if peer.takes_requests
+        ]
+        if self._local_endpoint.accepting:
+            queue = self._local_endpoint.queue
+            service = self._settings.service
+            loads.append(
+                occupancy.EndpointLoad(service, queue.load, queue.usable_slots)
+            )
+        self.occupancy.record_loads(loads)
+
     def get_loads(self, connected: ConnectedPeers = None) -> dict[str, Load]:
         """Returns the number of slots and the utilization by service.
 
