Tests of member counts at the coordinator and of config messages of version 4

They guard against a share above the leased part after the change of the coordinator's bookkeeping, and against config messages that a former node cannot read.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
@@ -81,6 +81,19 @@
         assert observer.state_count == 1
 
 
+class FormerConfigRequest(msgspec.Struct, tag=6, array_like=True):
+    """Request for a config of protocol version 4."""
+
+    version: int
+
+
+class FormerConfigReply(msgspec.Struct, tag=7, array_like=True):
+    """Reply with a config of protocol version 4."""
+
+    version: int
+    raw: bytes
+
+
 class FormerLoadReport(msgspec.Struct, tag=8, array_like=True):
     """Load report as nodes of protocol version 2 decode it."""
 
@@ -116,6 +129,30 @@
         assert not state.stopping
 
 
+class TestFormerConfigMessages:
+    """Nodes of version 4 exchange configs with newer ones, but confirm no age."""
+
+    def test_newer_messages_are_decoded_by_former_nodes(self) -> None:
+        encode = msgspec.msgpack.encode
+        request = encode(frames.ConfigRequest(5, 9))
+        former_request = msgspec.msgpack.decode(request, type=FormerConfigRequest)
+        assert former_request.version == 5
+        reply = encode(frames.ConfigReply(6, b"c", 9, 40))
+        former_reply = msgspec.msgpack.decode(reply, type=FormerConfigReply)
+        assert former_reply == FormerConfigReply(6, b"c")
+
+    def test_former_messages_neither_ask_for_an_age_nor_state_one(self) -> None:
+        encode = msgspec.msgpack.encode
+        request = msgspec.msgpack.decode(
+            encode(FormerConfigRequest(5)), type=frames.ConfigRequest
+        )
+        assert request.number == 0
+        reply = msgspec.msgpack.decode(
+            encode(FormerConfigReply(6, b"c")), type=frames.ConfigReply
+        )
+        assert reply.number == 0 and reply.age_ms < 0
+
+
 class CountingObserver(peer_observer.PeerObserver):
     """Counts the node states that it receives."""
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/quotas/quotas_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/quotas/quotas_test.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from . import virtual_nodes_test
+from ..membership import frames
+from . import coordinator, virtual_nodes_test
 from .virtual_nodes_test import (
     VirtualNodes,
     build_customer,
@@ -229,3 +230,31 @@
         net.run(4.0, load)
         check_windows(net, customer)
         assert count_run(net, customer, net.now - 3.0, net.now) >= 0.93 * 300
+
+
+class TestMemberCount:
+    """The largest member count of a follower limits the share while its lease lasts."""
+
+    def follow(
+        self, leader: coordinator.Coordinator, sender: str, count: int, now: float
+    ) -> None:
+        """Lets a node lease its part of the quotas."""
+        request = frames.QuotaRequest(count, int(now * 1000), [])
+        leader.handle_request(sender, request, now)
+
+    def test_largest_count_of_the_leases(self) -> None:
+        leader = coordinator.Coordinator(10.0)
+        self.follow(leader, "a", 2, 20.0)
+        self.follow(leader, "b", 8, 20.3)
+        assert leader.share == 2 / 8
+        self.follow(leader, "a", 2, 20.5)
+        leader.expire(20.95)
+        assert (leader.follower_count, leader.share) == (1, 1 / 2)
+        leader.expire(21.2)
+        assert (leader.follower_count, leader.share) == (0, 0.0)
+
+    def test_count_that_a_follower_corrects(self) -> None:
+        leader = coordinator.Coordinator(10.0)
+        self.follow(leader, "a", 8, 20.0)
+        self.follow(leader, "a", 2, 20.1)
+        assert leader.share == 1 / 2
