catkintiller config check: errors, dead entries and differences of a config

Change: the command parses a file by the code of the nodes and reports errors with their location, routes, services and customers without effect, timeouts that contradict each other, and routes and customers that differ from the version in force.

--- a/packages/catkintiller-operator/src/catkintiller_operator/main.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/main.py
@@ -11,6 +11,7 @@
 import defopt
 
 from . import (
+    config_check,
     config_queries,
     customer_queries,
     exit_codes,
@@ -221,6 +222,18 @@
     exit_codes.run_and_exit(lambda: config_queries.diff_config(store, file, json))
 
 
+def config_check_file(
+    file: str, *, store: str = DEFAULT_STORE_ADDRESS, json: bool = False
+) -> None:
+    """Check a config by the rules of the nodes; compare it with the one in force.
+
+    :param file: config in the format of the store.
+    :param store: address of the store; empty to compare with nothing.
+    :param json: print JSON.
+    """
+    exit_codes.run_and_exit(lambda: config_check.check_config(store, file, json))
+
+
 def show_node_metrics(address: str, word: str = "", *, json: bool = False) -> None:
     """Show the metrics of a node: config version, peers, queue, budgets, outcomes.
 
@@ -282,6 +295,7 @@
                 "show": config_show,
                 "explain": config_explain,
                 "diff": config_diff,
+                "check": config_check_file,
             },
             "customers": {"show": customers_show, "refused": customers_refused},
             "figures": show_node_metrics,
