Attempts are a module of their own

Change: attempts, their results and executions are in serving/attempts.py; which nodes keep the call graph is decided in the peer set.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection_test.py
@@ -8,7 +8,7 @@
 
 from .. import data
 from ..ingress import body_budget
-from ..serving import local_endpoint
+from ..serving import attempts
 from . import connections, frames, peer_server, peer_set_test
 from .frames_test import CountingObserver, build_node_state
 
@@ -49,12 +49,10 @@
     def __init__(self) -> None:
         self.queue = FakeQueue()
         self.service_times = FakeServiceTimes()
-        self.attempts: list[tuple[local_endpoint.Attempt, FakeExecution]] = []
+        self.attempts: list[tuple[attempts.Attempt, FakeExecution]] = []
         self.cancelled: list[FakeExecution] = []
 
-    def submit(
-        self, attempt: local_endpoint.Attempt, on_complete: Callable
-    ) -> FakeExecution:
+    def submit(self, attempt: attempts.Attempt, on_complete: Callable) -> FakeExecution:
         """Records an attempt."""
         execution = FakeExecution(on_complete)
         self.attempts.append((attempt, execution))
@@ -92,7 +90,7 @@
             self.loop, self.endpoint, ServerObserver(protocol), self.budget
         )
         self.incoming: list[peer_server.IncomingConnection] = []
-        self.results: dict[bytes, local_endpoint.AttemptResult] = {}
+        self.results: dict[bytes, attempts.AttemptResult] = {}
 
     async def start(self) -> None:
         """Connects the peer to the node."""
@@ -112,7 +110,7 @@
 
     def submit(self, request_id: bytes, body: bytes) -> tuple:
         """Sends an attempt."""
-        attempt = local_endpoint.Attempt(
+        attempt = attempts.Attempt(
             request_id, "r", "pay", 0, False, 5.0, 1.0, b"POST / HTTP/1.1\r\n", body
         )
         return self.peer.submit(
@@ -133,7 +131,7 @@
         """Lets the endpoint respond to an attempt."""
         _, execution = self.endpoint.attempts[index]
         execution.on_complete(
-            local_endpoint.AttemptResult(
+            attempts.AttemptResult(
                 data.Outcome.ANSWERED, None, 200, b"HTTP/1.1 200 OK\r\n", body, 0.0, 0.0
             )
         )
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 
 from .. import data
-from ..serving import local_endpoint, rate_limiter
+from ..serving import attempts, rate_limiter
 from . import frames, outgoing_connection, peer_observer
 
 CONNECT_TIMEOUT_S = 1.0
@@ -172,7 +172,7 @@
 
     def submit(
         self,
-        attempt: local_endpoint.Attempt,
+        attempt: attempts.Attempt,
         on_complete: outgoing_connection.CompletionHandler,
         on_suspect: outgoing_connection.SuspectHandler,
     ) -> tuple[outgoing_connection.OutgoingConnection, int]:
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/outgoing_connection.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/outgoing_connection.py
@@ -7,20 +7,20 @@
 import msgspec
 
 from .. import data
-from ..serving import local_endpoint
+from ..serving import attempts
 from . import body_connection, frames
 
 if TYPE_CHECKING:
     from . import connections
 
-CompletionHandler = Callable[[local_endpoint.AttemptResult], None]
+CompletionHandler = Callable[[attempts.AttemptResult], None]
 SuspectHandler = Callable[[], None]
 
 
-_LOST_RESULT = local_endpoint.AttemptResult(
+_LOST_RESULT = attempts.AttemptResult(
     data.Outcome.UNKNOWN, data.RefusalReason.NODE_LOST, 0, b"", b"", 0.0, 0.0
 )
-_UNSENT_RESULT = local_endpoint.AttemptResult(
+_UNSENT_RESULT = attempts.AttemptResult(
     data.Outcome.NOT_RUN, data.RefusalReason.UNREACHABLE, 0, b"", b"", 0.0, 0.0
 )
 
@@ -186,7 +186,7 @@
         if reply.own_time_us:
             self._peer.own_times_s[attempt.route] = reply.own_time_us / 1e6
         attempt.on_complete(
-            local_endpoint.AttemptResult(
+            attempts.AttemptResult(
                 outcome, reason, reply.status, reply.head, reply.body, 0.0, 0.0
             )
         )
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -10,7 +10,7 @@
 
 from .. import data, sockets
 from ..ingress import body_budget
-from ..serving import local_endpoint
+from ..serving import attempts, local_endpoint
 from . import body_connection, frames, peer_observer
 
 REPORT_ROUND_INTERVAL_S = 0.25
@@ -32,7 +32,7 @@
         self._server = server
         self._decoder = frames.FrameDecoder()
         self._transport: asyncio.Transport | None = None
-        self._executions: dict[int, local_endpoint.Execution] = {}
+        self._executions: dict[int, attempts.Execution] = {}
         self._held_bytes: dict[int, int] = {}
         self._protocol = 0
         self._link: tuple[str, int] | None = None
@@ -204,7 +204,7 @@
         if reply is not None:
             self.send(reply)
 
-    def _get_reason(self, result: local_endpoint.AttemptResult) -> str:
+    def _get_reason(self, result: attempts.AttemptResult) -> str:
         """Returns the reason in a result, in the terms of the peer's version."""
         reason = result.reason
         if reason is data.RefusalReason.BLOCKED and not self.takes_crash_reports:
@@ -218,7 +218,7 @@
             message = body_connection.shorten(message, int(waited_s * 1000))
         if message.body:
             self._hold_body(number, message.body)
-        attempt = local_endpoint.Attempt(
+        attempt = attempts.Attempt(
             message.request_id,
             message.route,
             message.service,
@@ -233,7 +233,7 @@
             message.may_hand_over,
         )
 
-        def send_reply(result: local_endpoint.AttemptResult) -> None:
+        def send_reply(result: attempts.AttemptResult) -> None:
             self._executions.pop(number, None)
             if message.body:
                 self._release_body(number)
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set.py
@@ -13,7 +13,13 @@
 
 from .. import data
 from ..routing import subsetting
-from . import connections, coordinator_order, frames, peer_observer
+from . import (
+    config_role,
+    connections,
+    coordinator_order,
+    frames,
+    peer_observer,
+)
 
 REMOVE_AFTER_S = 30.0
 UNREACHABLE_AFTER_S = 0.5
@@ -86,6 +92,20 @@
                     group[address] = peer
         return self._service_peers.get(service, {})
 
+    def is_first_of_service(self, count: int) -> bool:
+        """Returns whether this node is among the first of its service, in any order.
+
+        :param count: number of nodes that are.
+        """
+        settings = self._settings
+        position = config_role.get_position(settings.inbound)
+        preceding_count = sum(
+            peer.state.service == settings.service
+            and config_role.get_position(peer.address) < position
+            for peer in self.get_responsive_peers(self._loop.time())
+        )
+        return preceding_count < count
+
     def get_members(self) -> list[subsetting.Member]:
         """Returns all members."""
         return [member for group in self._members.values() for member in group.values()]
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -9,7 +9,6 @@
 from .crashes import crash_reporter
 from .ingress import body_budget, http1
 from .membership import (
-    config_role,
     config_sync,
     connections,
     frames,
@@ -94,7 +93,7 @@
             self._apply_config,
             self._handle_node_record,
             lambda: self._peers.has_connection,
-            self._keeps_call_graph,
+            lambda: self._peers.is_first_of_service(CALL_GRAPH_KEEPER_COUNT),
             self._broadcast_state,
         )
         self._tracker = endpoint_tracker.EndpointTracker(
@@ -382,16 +381,6 @@
             subsetting.Member(record.address, record.zone, record.service)
         )
 
-    def _keeps_call_graph(self) -> bool:
-        """Returns whether this node is among the first of its service, in any order."""
-        position = config_role.get_position(self._settings.inbound)
-        preceding_count = sum(
-            peer.state.service == self._settings.service
-            and config_role.get_position(peer.address) < position
-            for peer in self._peers.get_responsive_peers(self._loop.time())
-        )
-        return preceding_count < CALL_GRAPH_KEEPER_COUNT
-
     def _apply_config(self, raw: bytes, source: str) -> None:
         try:
             config = self._platform.parse_config(raw)
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -12,7 +12,7 @@
 from ..crashes import crash_history, fingerprint
 from ..ingress import http1, incoming_body
 from ..quotas import quota_sync
-from ..serving import local_endpoint
+from ..serving import attempts, local_endpoint
 from ..telemetry import customer_counts, events, metrics
 from . import (
     admission,
@@ -202,7 +202,7 @@
             return
         pending.tried_nodes.add(candidate.node)
         route = pending.route
-        attempt = local_endpoint.Attempt(
+        attempt = attempts.Attempt(
             pending.request_id,
             route.name,
             pending.service,
@@ -219,7 +219,7 @@
 
         node = candidate.node
 
-        def handle_result(result: local_endpoint.AttemptResult) -> None:
+        def handle_result(result: attempts.AttemptResult) -> None:
             pending.outstanding.pop(node, None)
             self._handle_result(pending, node, result)
 
@@ -291,7 +291,7 @@
         self._send_attempt(pending, now)
 
     def _handle_result(
-        self, pending: PendingRequest, node: str, result: local_endpoint.AttemptResult
+        self, pending: PendingRequest, node: str, result: attempts.AttemptResult
     ) -> None:
         now = self._loop.time()
         outcome = result.outcome
@@ -369,7 +369,7 @@
         self,
         pending: PendingRequest,
         node: str,
-        result: local_endpoint.AttemptResult,
+        result: attempts.AttemptResult,
         now: float,
     ) -> None:
         self._request_log.record_response(pending, node, result.status)
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/head_checker_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/head_checker_test.py
@@ -19,6 +19,7 @@
     :ivar admitted_count: places that are taken.
     """
 
+    has_customers = False
     has_reservations = False
 
     def __init__(self) -> None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/request_log.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/request_log.py
@@ -4,7 +4,7 @@
 
 from .. import data
 from ..crashes import fingerprint
-from ..serving import local_endpoint
+from ..serving import attempts
 from ..telemetry import customer_counts, events, metrics
 from . import admission, pending_request
 
@@ -113,7 +113,7 @@
         self,
         pending: pending_request.PendingRequest,
         node: str,
-        result: local_endpoint.AttemptResult,
+        result: attempts.AttemptResult,
         next_step: str,
     ) -> None:
         """Records an attempt without a response.
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
@@ -8,6 +8,7 @@
 from ..crashes import crash, crash_reporter
 from ..routing import call_graph
 from . import (
+    attempts,
     endpoint_client,
     endpoint_pool,
     endpoint_queue,
@@ -38,98 +39,6 @@
 NoticeCallback = Callable[[NoticeSource, response_notices.Notice], None]
 
 
-class Attempt(NamedTuple):
-    """One attempt to run a request at an endpoint.
-
-    :param request_id: identity of the request, as sent by its client.
-    :param route: name of the route that the request matches.
-    :param service: service that is to run the request.
-    :param rank: importance of its root request; 0 is highest.
-    :param is_nested_call: whether an endpoint sends it while it runs another request.
-    :param remaining_s: time until the deadline, in seconds.
-    :param target_latency_s: remaining time to the latency target, in seconds.
-    :param head: encoded head without the empty line at its end and without the headers
-        for the deadline and the target, which are added here.
-    :param body: complete body.
-    :param suspect_crashes: known crashes at which it ran, see :mod:`..crashes`.
-    :param customer: name of the customer that it belongs to; empty without one.
-    :param may_hand_over: whether it is refused if it would wait.
-    """
-
-    request_id: bytes
-    route: str
-    service: str
-    rank: int
-    is_nested_call: bool
-    remaining_s: float
-    target_latency_s: float
-    head: bytes
-    body: bytes
-    suspect_crashes: int = 0
-    customer: str = ""
-    may_hand_over: bool = False
-
-
-class AttemptResult(NamedTuple):
-    """Result of an attempt.
-
-    :param reason: why it was not run or its outcome is unknown; None if answered.
-    :param status: HTTP status code; 0 if there is no response.
-    :param head: encoded head of the response without the empty line at its end.
-    :param body: complete body of the response.
-    :param queued_s: time in the queue, in seconds.
-    :param service_time_s: time at the endpoint, in seconds.
-    """
-
-    outcome: data.Outcome
-    reason: data.RefusalReason | None
-    status: int
-    head: bytes
-    body: bytes
-    queued_s: float
-    service_time_s: float
-
-
-class Execution:
-    """An attempt that is queued for the local endpoint or runs there.
-
-    :ivar on_complete: called once with the result; None after that or after a cancel.
-    :ivar queue_number: number in the queue; None if it was not queued.
-    :ivar running_request: entry in the index, to which nested calls are assigned.
-    :ivar submitted_at: time of the event loop when it was submitted, in seconds.
-    :ivar started_at: time of the event loop when it got a slot, in seconds.
-    :ivar deadline: time of the event loop after which it is of no use, in seconds.
-    :ivar fingerprint: fingerprint of the request; empty until it is needed.
-    """
-
-    __slots__ = (
-        "fingerprint",
-        "submitted_at",
-        "on_complete",
-        "deadline",
-        "exchange",
-        "running_request",
-        "queue_number",
-        "is_running",
-        "started_at",
-        "attempt",
-    )
-
-    def __init__(
-        self, attempt: Attempt, on_complete: Callable[[AttemptResult], None]
-    ) -> None:
-        self.attempt = attempt
-        self.on_complete: Callable[[AttemptResult], None] | None = on_complete
-        self.exchange: endpoint_client.Exchange | None = None
-        self.queue_number: int | None = None
-        self.running_request: call_graph.RunningRequest | None = None
-        self.is_running = False
-        self.submitted_at = 0.0
-        self.started_at = 0.0
-        self.deadline = 0.0
-        self.fingerprint = b""
-
-
 class LocalEndpoint:
     """The endpoint beside this node, with its queue and its running requests.
 
@@ -164,7 +73,7 @@
         self._metrics = metrics
         self._on_notice = on_notice
         self._crashes = crashes
-        self._running: dict[Execution, None] = {}
+        self._running: dict[attempts.Execution, None] = {}
         self._crashed_start: tuple[str, int] | None = None
         self._last_response_at = 0.0
         self._suspect_runs = suspect_runs.SuspectRuns(crashes.history)
@@ -195,14 +104,16 @@
         return self._tracker.is_accepting(self._loop.time())
 
     def submit(
-        self, attempt: Attempt, on_complete: Callable[[AttemptResult], None]
-    ) -> Execution:
+        self,
+        attempt: attempts.Attempt,
+        on_complete: Callable[[attempts.AttemptResult], None],
+    ) -> attempts.Execution:
         """Starts, queues or refuses an attempt.
 
         :param on_complete: called once with the result, possibly before this method
             returns, unless the attempt is cancelled.
         """
-        execution = Execution(attempt, on_complete)
+        execution = attempts.Execution(attempt, on_complete)
         now = self._loop.time()
         execution.submitted_at = now
         execution.deadline = now + attempt.remaining_s
@@ -216,7 +127,7 @@
         self._enqueue(execution, now)
         return execution
 
-    def cancel(self, execution: Execution) -> None:
+    def cancel(self, execution: attempts.Execution) -> None:
         """Cancels an attempt whose sender no longer waits for the response."""
         if execution.on_complete is None:
             return
@@ -262,7 +173,7 @@
         sent_count, self._sent_count = self._sent_count, 0
         return sent_count
 
-    def _enqueue(self, execution: Execution, now: float) -> None:
+    def _enqueue(self, execution: attempts.Execution, now: float) -> None:
         """Starts, queues or refuses an attempt for which the endpoint is the right one.
 
         :param now: time of the event loop in seconds.
@@ -288,7 +199,7 @@
             execution.queue_number = queue_number
             self._schedule_run(now)
 
-    def _start_or_wait(self, execution: Execution, now: float) -> None:
+    def _start_or_wait(self, execution: attempts.Execution, now: float) -> None:
         """Starts an attempt that got a slot, unless it may not run beside others."""
         execution.queue_number = None
         decision = self._suspect_runs.decide(now, execution)
@@ -313,7 +224,7 @@
         for execution in ready.runnable:
             self._enqueue(execution, now)
 
-    def _start(self, execution: Execution, now: float) -> None:
+    def _start(self, execution: attempts.Execution, now: float) -> None:
         attempt = execution.attempt
         current = self._tracker.current
         remaining_s = execution.deadline - now
@@ -367,7 +278,7 @@
 
     def _finish(
         self,
-        execution: Execution,
+        execution: attempts.Execution,
         outcome: data.Outcome,
         reason: data.RefusalReason | None,
         status: int,
@@ -404,12 +315,14 @@
             self._metrics.record_latency("queue", labels, queued_s)
             self._metrics.record_latency("endpoint", labels, service_time_s)
             on_complete(
-                AttemptResult(
+                attempts.AttemptResult(
                     outcome, reason, status, head, body, queued_s, service_time_s
                 )
             )
 
-    def _release_slot(self, execution: Execution, service_time_s: float | None) -> None:
+    def _release_slot(
+        self, execution: attempts.Execution, service_time_s: float | None
+    ) -> None:
         if not execution.is_running:
             return
         execution.is_running = False
@@ -494,10 +407,14 @@
         )
         self._crashes.handle_crash(crash.EndpointCrash(*start, announced.service, runs))
 
-    def _refuse(self, execution: Execution, reason: data.RefusalReason) -> None:
+    def _refuse(
+        self, execution: attempts.Execution, reason: data.RefusalReason
+    ) -> None:
         on_complete, execution.on_complete = execution.on_complete, None
         if on_complete is not None:
             queued_s = self._loop.time() - execution.submitted_at
             on_complete(
-                AttemptResult(data.Outcome.NOT_RUN, reason, 0, b"", b"", queued_s, 0.0)
+                attempts.AttemptResult(
+                    data.Outcome.NOT_RUN, reason, 0, b"", b"", queued_s, 0.0
+                )
             )
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/suspect_runs.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/suspect_runs.py
@@ -3,14 +3,10 @@
 import collections
 import enum
 from collections.abc import Iterable
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 from ..crashes import crash, crash_history, fingerprint, isolation
-from . import endpoint_queue
-
-if TYPE_CHECKING:
-    from . import local_endpoint
-
+from . import attempts, endpoint_queue
 
 MAX_CANCELLED = 64
 
@@ -31,9 +27,9 @@
     :param blocked: attempts of requests that have been blocked since.
     """
 
-    runnable: list["local_endpoint.Execution"]
-    expired: list["local_endpoint.Execution"]
-    blocked: list["local_endpoint.Execution"]
+    runnable: list[attempts.Execution]
+    expired: list[attempts.Execution]
+    blocked: list[attempts.Execution]
 
 
 class CancelledRun(NamedTuple):
@@ -69,7 +65,7 @@
         """Number of attempts that wait for the turn of a suspect."""
         return self._isolation.waiting_count
 
-    def decide(self, now: float, execution: "local_endpoint.Execution") -> Decision:
+    def decide(self, now: float, execution: attempts.Execution) -> Decision:
         """Decides whether an attempt may start; gives it the turn if it is a suspect.
 
         :param now: time of the event loop in seconds.
@@ -92,7 +88,7 @@
 
     def wait(
         self,
-        execution: "local_endpoint.Execution",
+        execution: attempts.Execution,
         now: float,
         service_time_s: float,
     ) -> bool:
@@ -110,7 +106,7 @@
         )
         return self._isolation.wait(execution, now + wait_s)
 
-    def end(self, execution: "local_endpoint.Execution") -> None:
+    def end(self, execution: attempts.Execution) -> None:
         """Ends the run of an attempt, if it ran as a suspect."""
         self._isolation.end(execution)
 
@@ -141,11 +137,11 @@
                 self._isolation.wait(execution, waiting.expires_at)
         return ready
 
-    def pop_all(self) -> list["local_endpoint.Execution"]:
+    def pop_all(self) -> list[attempts.Execution]:
         """Removes and returns the attempts that wait."""
         return [waiting.item for waiting in self._isolation.pop_waiting()]
 
-    def record_cancel(self, execution: "local_endpoint.Execution", now: float) -> None:
+    def record_cancel(self, execution: attempts.Execution, now: float) -> None:
         """Records that an attempt was cancelled while it ran.
 
         :param now: time of the event loop in seconds.
@@ -161,7 +157,7 @@
 
     def build_runs(
         self,
-        running: Iterable["local_endpoint.Execution"],
+        running: Iterable[attempts.Execution],
         now: float,
         cancelled_from: float,
     ) -> tuple[crash.CrashedRun, ...]:
@@ -195,7 +191,7 @@
         )
 
 
-def get_fingerprint(execution: "local_endpoint.Execution") -> bytes:
+def get_fingerprint(execution: attempts.Execution) -> bytes:
     """Returns the fingerprint of an attempt; it is computed at the first call."""
     if not execution.fingerprint:
         attempt = execution.attempt
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/suspect_runs_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/suspect_runs_test.py
@@ -3,19 +3,19 @@
 import gc
 
 from ..crashes import crash, crash_history
-from . import endpoint_client, local_endpoint, suspect_runs
+from . import attempts, endpoint_client, suspect_runs
 from .suspect_runs import Decision
 
 
 def build_execution(
     path: str, suspect_crashes: int = 0, body: bytes = b""
-) -> local_endpoint.Execution:
+) -> attempts.Execution:
     """Builds an attempt that has been sent."""
     head = f"GET /{path} HTTP/1.1\r\nhost: a\r\n".encode()
-    attempt = local_endpoint.Attempt(
+    attempt = attempts.Attempt(
         b"id", "look", "pay", 1, False, 2.0, 0.5, head, body, suspect_crashes
     )
-    execution = local_endpoint.Execution(attempt, lambda result: None)
+    execution = attempts.Execution(attempt, lambda result: None)
     execution.exchange = endpoint_client.Exchange(b"id", b"", lambda *_: None)
     execution.deadline = 2.0
     return execution
@@ -25,7 +25,7 @@
     history: crash_history.CrashHistory,
     runs: suspect_runs.SuspectRuns,
     number: int,
-    *running: local_endpoint.Execution,
+    *running: attempts.Execution,
 ) -> None:
     """Lets the endpoint crash while attempts run."""
     records = runs.build_runs(running, 1.0, 0.0)
@@ -91,8 +91,6 @@
         runs.record_cancel(execution, 1.0)
         del execution
         kept = [
-            each
-            for each in gc.get_objects()
-            if isinstance(each, local_endpoint.Execution)
+            each for each in gc.get_objects() if isinstance(each, attempts.Execution)
         ]
         assert kept == []
