Coordinator of the quotas: leases are searched only when one may have ended

Cause: each quota request of 69 followers searched all leases for ended ones, though the leases are extended long before their end. Change: a time before which no lease ends is kept; the search waits for it.

--- a/packages/catkintiller-relay/src/catkintiller_relay/quotas/coordinator.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/quotas/coordinator.py
@@ -6,6 +6,7 @@
 this node was paused, therefore extend no lease.
 """
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -54,6 +55,7 @@
         self._started_ms = int(started_at * 1000)
         self._totals = totals or demand_totals.NoDemandTotals()
         self._leases: dict[str, Lease] = {}
+        self._no_end_before = math.inf  # no lease ends earlier
         self._history = token_bucket.ShareHistory()
         self._accounts: dict[str, _Account] = {}
         self._customers: dict[str, data.Customer] = {}
@@ -125,11 +127,14 @@
         if previous is not None:
             expires_at = max(expires_at, previous.expires_at)
         self._leases[sender] = Lease(expires_at, request.member_count)
+        self._no_end_before = min(self._no_end_before, expires_at)
         self._update_share(now)
         return True
 
     def _expire_leases(self, now: float) -> None:
         """Ends expired leases in their order, so that each counted until its end."""
+        if now < self._no_end_before:
+            return
         expired = sorted(
             (lease.expires_at, sender)
             for sender, lease in self._leases.items()
@@ -138,6 +143,9 @@
         for expires_at, sender in expired:
             del self._leases[sender]
             self._update_share(expires_at)
+        self._no_end_before = min(
+            (lease.expires_at for lease in self._leases.values()), default=math.inf
+        )
 
     def _update_share(self, now: float) -> None:
         member_count = max(
