Operator's trace explains a request that was handed over

The reason endpoint_full had no text, so the cause of a refusal after a hand-over was shown without an explanation. request_trace_test passes.

--- a/packages/catkintiller-operator/src/catkintiller_operator/request_trace.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/request_trace.py
@@ -15,6 +15,7 @@
     "queue_timeout": "it waited too long for a slot of the endpoint",
     "no_memory": "the node held too many requests or bytes",
     "endpoint_refused": "the endpoint responded that it did not run the request",
+    "endpoint_full": "the endpoint was full, and another one seemed to have free slots",
     "endpoint_leaving": "the endpoint was draining or did not accept requests",
     "wrong_service": "the endpoint at that address belonged to another service",
     "unreachable": "no connection to the endpoint could be opened",
