SIGHUP during the start of a node no longer ends the process

Cause: SIGHUP ends a process without a handler, and the node installed its own after its modules had been imported. Change: the signal is ignored from the start of main on; the modules are imported after that. Test: main_test fails without the change, as the signal ends pytest.

--- a/packages/catkintiller-relay/src/catkintiller_relay/main.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/main.py
@@ -1,41 +1,22 @@
 """Command that runs a node on a VM whose platform provides a store."""
 
-import asyncio
-import gc
+import signal
 import sys
 
-import uvloop
-from catkintiller_platform import adapter
-
-from . import data, node
-from .telemetry import events
-
-EXIT_INVALID_SETTINGS = 2
-GC_THRESHOLD = 50_000
-
 
 def main() -> int:
     """Runs the node until SIGTERM or SIGINT stops it.
 
+    SIGHUP ends a process without a handler. It is ignored until the node has one: the
+    settings are read during the start in any case. The other modules take most of the
+    time of the start, so they are imported afterwards.
+
     :returns: the exit status of the process.
     """
-    platform = adapter.PlatformAdapter()
-    try:
-        settings = platform.load_settings()
-    except (OSError, KeyError, data.DecodeError) as error:
-        print(f"settings could not be loaded: {error}", file=sys.stderr)
-        return EXIT_INVALID_SETTINGS
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD, 20, 50)
-    loop = uvloop.new_event_loop()
-    asyncio.set_event_loop(loop)
-    log = events.EventLog(settings.node)
-    try:
-        loop.run_until_complete(node.Node(platform, settings, loop, log).run())
-    finally:
-        log.flush()
-        loop.close()
-    return 0
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from . import process
+
+    return process.run_node()
 
 
 if __name__ == "__main__":
