Played loads of the selection move to the stand-ins

Cause: the simulation of 62 nodes was deployed with the node. Change: simulation, figures and their tests are in the package of stand-ins.

--- /dev/null
+++ b/packages/catkintiller-standins/src/catkintiller_standins/even_load/__init__.py
@@ -0,0 +1,1 @@
+"""Played loads of the selection of endpoints, without a network."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/even_load_test.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/even_load/even_load_test.py
@@ -2,17 +2,17 @@
 
 import pytest
 
-from . import even_load_figures, even_load_simulation
+from . import figures, simulation
 
 DURATION_S = 20.0
 MAX_UNEVEN_RATIO = 0.05
 MAX_P99_RATIO = 1.3  # to a single queue for all endpoints
 
 
-def run(load: str, selection: str) -> even_load_simulation.Figures:
+def run(load: str, selection: str) -> simulation.Figures:
     """Runs a load with a selection."""
-    return even_load_simulation.Simulation(
-        even_load_figures.LOADS[load], even_load_figures.SELECTIONS[selection]
+    return simulation.Simulation(
+        figures.LOADS[load], figures.SELECTIONS[selection]
     ).run(DURATION_S)
 
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/even_load_figures.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/even_load/figures.py
@@ -1,4 +1,4 @@
-"""Loads of :mod:`.even_load_simulation`, selections of an endpoint, and their figures.
+"""Loads of :mod:`.simulation`, selections of an endpoint, and their figures.
 
 Run as a program, it prints the figures of every load and selection.
 """
@@ -7,24 +7,26 @@
 import itertools
 from collections.abc import Iterator
 
-from . import endpoint_selection, even_load_simulation, handover
+from catkintiller_relay.routing import endpoint_selection, handover
+
+from . import simulation
 
 LOADS = {
-    "fresh": even_load_simulation.Load(0.7, report_interval_s=0.01),
-    "old": even_load_simulation.Load(0.7),
-    "older": even_load_simulation.Load(0.7, replies_carry_load=False),
-    "busy": even_load_simulation.Load(0.9),
-    "lost": even_load_simulation.Load(0.6, reports_are_lost=True),
-    "slow": even_load_simulation.Load(0.6, slows_down=True),
-    "wave": even_load_simulation.Load(0.55, slows_down=True, waves=True),
-    "crash": even_load_simulation.Load(0.5, crashes=True),
-    "reject": even_load_simulation.Load(0.5, rejecting=True),
+    "fresh": simulation.Load(0.7, report_interval_s=0.01),
+    "old": simulation.Load(0.7),
+    "older": simulation.Load(0.7, replies_carry_load=False),
+    "busy": simulation.Load(0.9),
+    "lost": simulation.Load(0.6, reports_are_lost=True),
+    "slow": simulation.Load(0.6, slows_down=True),
+    "wave": simulation.Load(0.55, slows_down=True, waves=True),
+    "crash": simulation.Load(0.5, crashes=True),
+    "reject": simulation.Load(0.5, rejecting=True),
 }
 
 
 def select_random(
-    simulation: even_load_simulation.Simulation,
-    request: even_load_simulation.Request,
+    simulation: simulation.Simulation,
+    request: simulation.Request,
     now: float,
 ) -> tuple[int, bool]:
     """Selects any endpoint."""
@@ -32,8 +34,8 @@
 
 
 def select_of_two(
-    simulation: even_load_simulation.Simulation,
-    request: even_load_simulation.Request,
+    simulation: simulation.Simulation,
+    request: simulation.Request,
     now: float,
 ) -> tuple[int, bool]:
     """Selects the less loaded one of two random endpoints."""
@@ -44,8 +46,8 @@
 
 
 def select_as_node(
-    simulation: even_load_simulation.Simulation,
-    request: even_load_simulation.Request,
+    simulation: simulation.Simulation,
+    request: simulation.Request,
     now: float,
 ) -> tuple[int, bool]:
     """Selects as the nodes do."""
@@ -55,8 +57,8 @@
 
 
 def select_and_hand_over(
-    simulation: even_load_simulation.Simulation,
-    request: even_load_simulation.Request,
+    simulation: simulation.Simulation,
+    request: simulation.Request,
     now: float,
 ) -> tuple[int, bool]:
     """Selects as the nodes do; full endpoints hand requests back."""
@@ -80,13 +82,11 @@
 
 def iter_figures(
     loads: list[str], selections: list[str], seed: int
-) -> Iterator[tuple[str, str, even_load_simulation.Figures]]:
+) -> Iterator[tuple[str, str, simulation.Figures]]:
     """Runs loads with selections."""
     for name, selection in itertools.product(loads, selections):
-        simulation = even_load_simulation.Simulation(
-            LOADS[name], SELECTIONS[selection], seed
-        )
-        yield name, selection, simulation.run()
+        play = simulation.Simulation(LOADS[name], SELECTIONS[selection], seed)
+        yield name, selection, play.run()
 
 
 def main() -> None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/even_load_simulation.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/even_load/simulation.py
@@ -4,7 +4,7 @@
 speed, one in each availability zone, with 62 nodes that know the load of an endpoint as
 it was some time ago; endpoints that slow down for a moment; waves with a burst; joins
 and crashes; reports that are lost; an endpoint that rejects half of its requests.
-:mod:`.even_load_figures` names the loads and prints the figures.
+:mod:`.figures` names the loads and prints the figures.
 """
 
 import collections
@@ -15,7 +15,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from . import endpoint_selection, failure_tracker
+from catkintiller_relay.routing import endpoint_selection, failure_tracker
 
 NODE_COUNT = 62
 ZONE_COUNT = 4
