Nested calls are attributed to their parent, not to its siblings

Cause: nested calls of one root request share the first part of their IDs. Change: the running request whose whole ID a call extends is its parent; without one, the rule is as before. Test: a call with two siblings of its parent, one with a similar ID.

--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
@@ -190,12 +190,18 @@
         return max(extended, key=lambda each: len(each.request_id), default=None)
 
     def find_parent_by_id(self, request_id: bytes) -> RunningRequest | None:
-        """Finds the running request whose ID a nested call extends."""
+        """Finds the running request whose ID a nested call extends.
+
+        If the call extends the ID of none of them whole, the last one with the same
+        root is taken.
+        """
         root_id = get_root_id(request_id)
         if root_id == request_id:
             return None
         related = self._requests_by_root.get(root_id)
-        return next(reversed(related.values())) if related else None
+        if not related:
+            return None
+        return self.find_extended(request_id) or next(reversed(related.values()))
 
 
 def get_root_id(request_id: bytes) -> bytes:
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph_test.py
@@ -15,6 +15,14 @@
         assert running.find_parent(b"aa11", 3.0) is None
         assert running.find_parent(b"cc33.bb22", 3.0) is None
 
+    def test_call_is_not_charged_to_a_sibling_of_its_parent(self) -> None:
+        # The edges of the call graph would lead in circles.
+        running = call_graph.RunningRequestIndex()
+        parent = running.add("read", 2, b"aa11.bb22", 10.0)
+        running.add("note", 2, b"aa11.cc33", 10.0)
+        running.add("list", 2, b"aa11.bb2", 10.0)
+        assert running.find_parent(b"aa11.bb22.dd44", 10.0) is parent
+
     def test_call_has_the_deadline_of_its_parent(self) -> None:
         running = call_graph.RunningRequestIndex()
         running.add("lookup", 2, b"aa11", 10.0)
