Large bodies: waiting attempts lose the time that they waited; room of other messages is given back

Attempts that waited for a second connection that was lost were sent with the time that remained when they were submitted, so an endpoint could be given more time than was left. Room reserved for a message without a body on the second connection was kept until the next frame. Two tests of body_connection_test guard against both.

The time at which a request with a body was received is that of its head until the body is complete.

--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
@@ -321,6 +321,7 @@
     def _begin_body(self, request: Request, framing: http_head.Framing) -> None:
         """Checks a request with a body by its head, when its turn has come."""
         limits = self._server.limits
+        self.body_received_at = request.head_received_at
         request.incoming_body = incoming_body.IncomingBody(
             self._server.budget,
             framing.declared_bytes,
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection.py
@@ -124,9 +124,7 @@
             self._confirmed.set_exception(ConnectionResetError())
             return
         self._closed = True
-        unsent = [message for message, _ in self._waiting.values()]
-        self._waiting.clear()
-        self._owner.handle_bodies_lost(self._sent_numbers, unsent)
+        self._owner.handle_bodies_lost(self._sent_numbers, self._pop_unsent())
 
     def data_received(self, received: bytes) -> None:
         """Passes on the results that are complete."""
@@ -151,6 +149,16 @@
         self._writing_paused = False
         self._send_waiting()
 
+    def _pop_unsent(self) -> list[frames.Submit]:
+        """Removes the attempts that wait, with the times that remain to them now."""
+        now = self._loop.time()
+        unsent = [
+            shorten(message, int((now - submitted_at) * 1000))
+            for message, submitted_at in self._waiting.values()
+        ]
+        self._waiting.clear()
+        return unsent
+
     def _send_waiting(self) -> None:
         while (
             self._waiting
@@ -178,9 +186,7 @@
             self._closed = True
             if self._transport is not None:
                 self._transport.abort()
-            unsent = [message for message, _ in self._waiting.values()]
-            self._waiting.clear()
-            self._owner.handle_unconnected(unsent)
+            self._owner.handle_unconnected(self._pop_unsent())
 
 
 def shorten(message: frames.Submit, waited_ms: int) -> frames.Submit:
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -317,6 +318,31 @@
 
         run(check)
 
+    def test_time_that_an_attempt_waited_is_not_given_to_the_endpoint(self) -> None:
+        async def check(pair: Pair) -> None:
+            pair.server.first_connections.clear()
+            pair.submit(b"large", LARGE_BODY)
+            time.sleep(0.02)  # nothing is received meanwhile
+            await pair.wait_for_attempts(1)
+            attempt, _ = pair.endpoint.attempts[0]
+            assert attempt.remaining_s <= 5.0 - 0.02
+
+        run(check)
+
+    def test_room_of_a_message_without_a_body_is_given_back(self) -> None:
+        async def check(pair: Pair) -> None:
+            pair.submit(b"first", LARGE_BODY)
+            await pair.wait_for_attempts(1)
+            pair.respond(0, b"")
+            frame = frames.encode(frames.Cancel(99))
+            connection = pair.incoming[1]
+            connection.data_received(frame[:-1])
+            assert pair.budget.used_bytes > 0
+            connection.data_received(frame[-1:])
+            assert pair.budget.used_bytes == 0
+
+        run(check)
+
     def test_node_that_does_not_know_the_first_connection(self) -> None:
         async def check(pair: Pair) -> None:
             pair.server.first_connections.clear()
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -69,8 +69,7 @@
             self._server.local_endpoint.cancel(execution)
         for number in list(self._held_bytes):
             self._release_body(number)
-        self._server.budget.release(self._frame_bytes)
-        self._frame_bytes = 0
+        self._release_frame()
 
     def data_received(self, received: bytes) -> None:
         """Handles the messages that are complete."""
@@ -96,6 +95,9 @@
             elif type(message) is frames.BodyHello:
                 self._handle_body_hello(message)
         if self._carries_bodies:
+            if messages:
+                # What was reserved for the first of them and is not held with a body.
+                self._release_frame()
             self._reserve_frame()
 
     def send(self, message: frames.Message) -> None:
@@ -173,6 +175,10 @@
         self._reserve_frame()
         self._frame_started_at = started_at
 
+    def _release_frame(self) -> None:
+        self._server.budget.release(self._frame_bytes)
+        self._frame_bytes = 0
+
     def _hold_body(self, number: int, body: bytes) -> None:
         """Counts a body as long as its attempt has no result."""
         held_bytes, self._frame_bytes = self._frame_bytes, 0
