Fair shares: customers are counted once, and returns are recognized without bodies

A customer that had demand in the last interval and in the present one was counted twice, so half as many customers as the limit had shares of their own (shares_test). The body of a request has not arrived when it is admitted, so it cannot be part of what a return is recognized by.

--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
@@ -99,7 +99,7 @@
         """Estimates how many nested calls to a service have not succeeded yet.
 
         :param expected_calls: mean number of them for each request of its route.
-        :returns: at least the number of calls that have no response yet.
+        :returns: an estimate: open calls to other services count as calls to this one.
         """
         made_count = sum(
             count for (_, name), count in self.calls.items() if name == service
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/share_gate.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/share_gate.py
@@ -5,8 +5,6 @@
 from .. import data
 from . import admission, pending_request
 
-MAX_COMPARED_BYTES = 1024
-
 
 def admit(
     controller: admission.AdmissionController,
@@ -49,8 +47,8 @@
 def compute_content(pending: pending_request.PendingRequest) -> Hashable:
     """Computes what a request is recognized by when it returns to this node.
 
-    Its ID does not serve for that: it is another one at each attempt of the client.
+    Its ID does not serve for that: it is another one at each attempt of the client. The
+    body has not arrived when a request is admitted.
     """
     request = pending.request
-    body = request.body[:MAX_COMPARED_BYTES]
-    return hash((pending.customer_name, request.method, request.target, body))
+    return hash((pending.customer_name, request.method, request.target))
--- a/packages/catkintiller-relay/src/catkintiller_relay/shares/demand_table.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/shares/demand_table.py
@@ -56,7 +56,8 @@
         """Adds the demand of one request."""
         added = self.added_slot_s
         if customer not in added and customer not in self.slots:
-            if len(added) + len(self.slots) >= MAX_CUSTOMER_COUNT:
+            known_count = len(added.keys() | self.slots.keys())
+            if known_count >= MAX_CUSTOMER_COUNT:
                 customer = water_filling.OTHERS
         added[customer] = added.get(customer, 0.0) + slot_s
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/shares/shares_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/shares/shares_test.py
@@ -77,6 +77,17 @@
         assert table.get_report(16) == []
         assert table.get_view(*KEY, 0.0) is None
 
+    def test_customers_that_come_again_are_counted_once(self) -> None:
+        # Otherwise half as many customers as the limit would have shares of their own.
+        table = self.build_table()
+        for _ in range(2):
+            for number in range(demand_table.MAX_CUSTOMER_COUNT - 1):
+                table.record(*KEY, f"c{number}", 1.0)
+            table.update(0.1)
+        names = table.get_view(*KEY, 0.0).slots
+        assert water_filling.OTHERS not in names
+        assert len(names) == demand_table.MAX_CUSTOMER_COUNT - 1
+
     def test_largest_are_named(self) -> None:
         table = self.build_table()
         for number in range(1000):
--- a/packages/catkintiller-relay/src/catkintiller_relay/telemetry/load_line.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/telemetry/load_line.py
@@ -31,4 +31,6 @@
         shares=requests.admission.get_admitted_shares(),
     )
     if customer_shares:
-        log.write("shares", "Shares of customers.", customers=customer_shares)
+        log.write(
+            "shares", "Customers are limited to shares.", customers=customer_shares
+        )
