A request ID that begins with a dot is not taken for a nested call

Cause: requests without an ID are indexed by the empty root ID, and an ID such as ".1" extends the empty ID. While a request without an ID ran, a client without a key was accepted as its nested call and got its customer, rank and exemption from quota and admission. After a restart of the node, such an ID passed for one that extends another ID.

Change: an ID with an empty root has no parent by ID, and extends no ID.

Test: TestImpersonation.test_id_that_extends_no_id is answered as unauthorized both with a running request without an ID and just after the start; it fails before.

--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/authentication.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/authentication.py
@@ -127,7 +127,7 @@
             return Identity(Decision.ACCEPT, customer, parent, True)
         if route.public:
             return Identity(Decision.ACCEPT, None, None, is_callee)
-        extends_id = call_graph.get_root_id(request_id) != request_id
+        extends_id = call_graph.get_root_id(request_id) not in (b"", request_id)
         if not is_callee or not extends_id:
             return Identity(Decision.UNAUTHORIZED)
         if now < self._started_at + self._longest_timeout_s:
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/authentication_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/authentication_test.py
@@ -155,6 +155,14 @@
             identity = setup.identify(ROOT_ROUTE, request_id)
             assert identity.decision is authentication.Decision.UNAUTHORIZED
 
+    def test_id_that_extends_no_id(self) -> None:
+        """A dot alone passed for the ID of a call of any request without an ID."""
+        setup = Setup(CUSTOMER)
+        setup.running.add("root", 1, b"", DEADLINE, "shop")
+        for now in (TIMEOUT_S - 0.1, 100.0):
+            identity = setup.identify(CALLEE_ROUTE, b".1", now=now)
+            assert identity.decision is authentication.Decision.UNAUTHORIZED
+
     def test_deeper_of_two_running_requests_is_the_parent(self) -> None:
         setup = Setup(CUSTOMER)
         parent = setup.running.add("callee", 1, b"r1.2", DEADLINE, "shop")
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
@@ -179,9 +179,13 @@
         """Finds the running request whose whole ID an ID extends after a dot.
 
         Requests of other clients may have the same root ID, so that ID alone does not
-        tell for whom a request without a key runs.
+        tell for whom a request without a key runs. A request without an ID has none
+        that could be extended.
         """
-        related = self._requests_by_root.get(get_root_id(request_id), {})
+        root_id = get_root_id(request_id)
+        if not root_id:
+            return None
+        related = self._requests_by_root.get(root_id, {})
         extended = [
             request
             for request in related.values()
