A retry for a customer without a quota is not charged

Cause: a request that may have run is retried after a config has removed its customer. The charge created an account with a debt that no coordinator pays, since it grants nothing to customers that it does not know. The node then sent a quota request every 30 ms until its restart, and kept the account.

Change: the quota client knows which customers are limited and ignores charges of others.

Test: TestRemovedCustomer.test_retry_after_the_removal; before, the client was still urgent one second after the charge.

--- a/packages/catkintiller-relay/src/catkintiller_relay/quotas/quota_client.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/quotas/quota_client.py
@@ -55,6 +55,7 @@
         self._rng = rng
         self._get_demand = get_demand
         self._accounts: dict[str, customer_account.CustomerAccount] = {}
+        self._limited: frozenset[str] = frozenset()
         self._urgent: dict[str, float] = {}  # earliest time of the next message
         self._sent: dict[int, tuple[str, float]] = {}
         self._last_number = 0
@@ -72,9 +73,9 @@
 
     def set_customers(self, now: float, customers: Iterable[data.Customer]) -> None:
         """Applies the customers of a config; lets requests without quota pass."""
-        limited = {each.name for each in customers if each.rate_per_s}
+        self._limited = frozenset(each.name for each in customers if each.rate_per_s)
         for name, account in list(self._accounts.items()):
-            if name not in limited:
+            if name not in self._limited:
                 del self._accounts[name]
                 self._urgent.pop(name, None)
                 account.release_waiting(now)
@@ -139,7 +140,13 @@
             account.add(now, 1, expires_at, "")
 
     def charge(self, customer_name: str, now: float) -> None:
-        """Charges a further attempt of a request that may have run before."""
+        """Charges a further attempt of a request that may have run before.
+
+        A customer that has lost its quota since is not charged: the coordinator grants
+        no token to one that it does not know, so the node would ask for ever.
+        """
+        if customer_name not in self._limited:
+            return
         self._get_account(customer_name, now).charge()
         self._urgent.setdefault(customer_name, now)
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/quotas/quotas_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/quotas/quotas_test.py
@@ -232,6 +232,21 @@
         assert count_run(net, customer, net.now - 3.0, net.now) >= 0.93 * 300
 
 
+class TestRemovedCustomer:
+    """Nothing is requested for a customer that the config no longer has."""
+
+    def test_retry_after_the_removal(self) -> None:
+        """The node sent messages for its token every 30 ms until it was restarted."""
+        customer = build_customer()
+        net = start([customer], 2)
+        node = net.nodes[net.order[1]]
+        for each in net.nodes.values():
+            each.set_customers([])
+        node.client.charge(customer.name, node.now)
+        net.run(1.0)
+        assert not node.client.is_urgent
+
+
 class TestMemberCount:
     """The largest member count of a follower limits the share while its lease lasts."""
 
