A hedged attempt without an endpoint no longer answers the request

Cause: when a node becomes suspect, a hedged attempt is allowed if an untried endpoint is healthy. A request that has reached all endpoints of its route may only be sent to those that rejected it; if none of them is usable, the attempt failed, and the client got 502 while the first attempt was outstanding. The result of that attempt was then sent too, to the next request of the connection if there was one, and the number of pending requests was decremented twice.

Change: no hedged attempt is charged or sent unless there is an endpoint for it.

Test: forwarder_test, TestHedgedAttempt: a request is rejected once, sent again to the same endpoint, whose node becomes suspect and then answers. Before, the responses were 502 and 200, now there is one 200.

--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -279,6 +279,9 @@
             pending.service, pending.route.name, pending.tried_nodes, now
         ):
             return
+        # A request that has reached all endpoints goes only to those that rejected it.
+        if not handover.get_candidates(self._endpoints, pending, now, None):
+            return
         if (
             self._retry_policy.decide_and_charge(pending, now)
             is not retry_policy.RetryDecision.ALLOWED
