Reservations of the same content are searched by bisection

Cause: the reservations of requests with the same customer, method and path were one list that each request of that path went through. The list was also used in the order of the refusals, not of the times, so a return could use a reservation that others needed.

The reservation that ends first is used first.

Test: TestReservations.test_first_reservation_to_end_is_used_first; before, the second return was not recognized.

--- a/packages/catkintiller-relay/src/catkintiller_relay/shares/reservations.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/shares/reservations.py
@@ -33,7 +33,7 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._next_at: dict[Group, float] = {}
-        self._times: dict[Hashable, list[float]] = {}
+        self._times: dict[Hashable, list[float]] = {}  # sorted
         self._ends: list[tuple[float, Hashable]] = []
 
     @property
@@ -59,25 +59,28 @@
             return MAX_DELAY_S * self._rng.uniform(1.0, 1.0 + SPREAD_RATIO)
         self._next_at[group] = earliest + interval_s
         if len(self._ends) < MAX_RESERVATION_COUNT:
-            self._times.setdefault(content, []).append(at)
-            bisect.insort(self._ends, (at + LATE_TOLERANCE_S, content))
+            bisect.insort(self._times.setdefault(content, []), at)
+            bisect.insort(self._ends, (_get_end(at), content))
         return at - now
 
     def take(self, content: Hashable, now: float) -> bool:
         """Uses the reservation of a request that returns; returns whether it has one.
 
+        Of several, the one that ends first is used. They are searched by bisection,
+        since a customer may have thousands for the same path.
+
         :param now: time in seconds.
         """
         times = self._times.get(content)
         if times is None:
             return False
-        for at in times:
-            if at - EARLY_TOLERANCE_S <= now <= at + LATE_TOLERANCE_S:
-                times.remove(at)
-                if not times:
-                    del self._times[content]
-                return True
-        return False
+        index = bisect.bisect_left(times, now - LATE_TOLERANCE_S)
+        if index == len(times) or times[index] - EARLY_TOLERANCE_S > now:
+            return False
+        del times[index]
+        if not times:
+            del self._times[content]
+        return True
 
     def drop_expired(self, now: float) -> None:
         """Drops reservations whose requests have not returned.
@@ -87,13 +90,16 @@
         count = bisect.bisect_left(self._ends, now, key=lambda entry: entry[0])
         for end, content in self._ends[:count]:
             times = self._times.get(content, [])
-            kept = [at for at in times if at + LATE_TOLERANCE_S > end]
-            if kept:
-                self._times[content] = kept
-            else:
+            del times[: bisect.bisect_right(times, end, key=_get_end)]
+            if not times:
                 self._times.pop(content, None)
         del self._ends[:count]
         if count:
             for group, at in list(self._next_at.items()):
                 if at < now:
                     del self._next_at[group]
+
+
+def _get_end(at: float) -> float:
+    """Returns the end of the reservation of a time."""
+    return at + LATE_TOLERANCE_S
--- a/packages/catkintiller-relay/src/catkintiller_relay/shares/shares_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/shares/shares_test.py
@@ -159,6 +159,16 @@
         assert not book.take("x", delay_s)
         assert book.is_empty
 
+    def test_first_reservation_to_end_is_used_first(self) -> None:
+        """Later returns of the same content found the reservations expired."""
+        book = reservations.ReservationBook(random.Random(1))
+        later_at = book.reserve((*KEY, "a"), "x", 1.0, 0.0)
+        earlier_at = later_at - 0.5
+        earlier_at += book.reserve(("edge", 1, "a"), "x", 100.0, earlier_at)
+        assert earlier_at < later_at
+        assert book.take("x", later_at)
+        assert book.take("x", later_at + 0.9 * reservations.LATE_TOLERANCE_S)
+
     def test_memory_is_bounded(self) -> None:
         book = reservations.ReservationBook(random.Random(1))
         for number in range(10_000):
