Quotas and routing: one constant for the lease, a refunded ticket is not kept, names

The duration of a lease was defined at the coordinator and at its followers. Two classes were named DemandTotals; the one in routing is now PeerDemand. A ticket whose token was granted and refunded at once was set on the request again; nothing read it. Comments and docstrings say what the code does.

--- a/packages/catkintiller-relay/src/catkintiller_relay/quotas/coordinator.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/quotas/coordinator.py
@@ -15,8 +15,8 @@
 from . import demand_totals, shortage, token_bucket
 
 LEASE_S = 0.6
-# A bucket that began empty says little about its customer for as long as this; what it
-# lacks is reported as not known.
+# A bucket that began empty may lack tokens for this time although its customer is below
+# its quota, so the time until a token is available is reported as not known.
 SETTLING_S = 1.0
 NOT_KNOWN_MS = -1
 MAX_ENTRY_TOKENS = 100_000
@@ -55,7 +55,7 @@
         self._started_ms = int(started_at * 1000)
         self._totals = totals or demand_totals.NoDemandTotals()
         self._leases: dict[str, Lease] = {}
-        # Not later than the first end of a lease: leases are only looked through then.
+        # At most the first end of a lease: before it, none has to be searched for.
         self._next_expiry_at = float("inf")
         self._member_counts: collections.Counter[int] = collections.Counter()
         self._history = token_bucket.ShareHistory()
@@ -157,7 +157,7 @@
             del self._member_counts[member_count]
 
     def _update_share(self, now: float) -> None:
-        # Members agree on their number but for a few moments, so there are few counts.
+        # Members nearly always agree on their number, so there are few counts.
         member_count = max(self._member_counts, default=1)
         member_count = max(member_count, self.own_member_count)
         self._history.record(now, min(1.0, len(self._leases) / member_count))
--- a/packages/catkintiller-relay/src/catkintiller_relay/quotas/coordinator_choice.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/quotas/coordinator_choice.py
@@ -13,8 +13,8 @@
 from typing import NamedTuple
 
 from ..membership import frames
+from . import coordinator
 
-LEASE_S = 0.6
 # A coordinator without a reply for this time is replaced; requests are more frequent.
 SILENT_AFTER_S = 0.45
 SILENCE_KEPT_S = 2.0  # time after which a silent member is tried again
@@ -111,12 +111,14 @@
         """
         address = self.coordinator
         contact = self._contacts.get(address)
-        if contact is None or now >= contact.replied_at + LEASE_S:
+        if contact is None or now >= contact.replied_at + coordinator.LEASE_S:
             return 0
         if self._leased_to != address and now < self._leased_until:
             return 0
         self._leased_to = address
-        self._leased_until = max(self._leased_until, contact.replied_at + LEASE_S)
+        self._leased_until = max(
+            self._leased_until, contact.replied_at + coordinator.LEASE_S
+        )
         return contact.clock_ms
 
     def _choose(self, now: float) -> str:
--- a/packages/catkintiller-relay/src/catkintiller_relay/quotas/demand_totals.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/quotas/demand_totals.py
@@ -1,7 +1,7 @@
 """Interface of the coordinator's sums of demand over all nodes.
 
-Demand rides on the messages about quotas: each entry has a service, a rank, the name of
-a customer and its slots in thousandths.
+Demand is sent in the messages about quotas: each entry has a service, a rank, the name
+of a customer and its slots in thousandths.
 """
 
 import abc
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
@@ -2,7 +2,8 @@
 
 The node beside an endpoint keeps an index of the requests that run there. A request
 from that VM is a nested call of one of them if its ID extends the ID of that request,
-or if both have the same deadline. Otherwise it counts as a root request.
+or if both have the same deadline. Otherwise it counts as a root request. With customers
+in the config, the deadline does not count, see :mod:`.authentication`.
 """
 
 import bisect
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
@@ -47,7 +47,7 @@
         self._local_endpoint = endpoint
         self._peers = peers
         self._failure_trackers: dict[str, failure_tracker.FailureTracker] = {}
-        self._demand_totals = peer_demand.DemandTotals()
+        self._peer_demand = peer_demand.PeerDemand()
         self._peer_occupancies = peer_occupancies.PeerOccupancies()
         self.occupancy = occupancy.OccupancyTracker()
 
@@ -300,7 +300,7 @@
         """
         if connected is None:
             connected = self.get_connected_peers()
-        totals = self._demand_totals
+        totals = self._peer_demand
         totals.update(
             {
                 peer.address: peer.slot_demand
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/peer_demand.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/peer_demand.py
@@ -11,7 +11,7 @@
 NO_DEMAND: SlotDemand = {}
 
 
-class DemandTotals:
+class PeerDemand:
     """Sum of the demand in the last reports of some peers, by service and rank."""
 
     def __init__(self) -> None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/peer_demand_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/peer_demand_test.py
@@ -6,24 +6,24 @@
 OTHER_KEY = ("stock", 2)
 
 
-class TestDemandTotals:
+class TestPeerDemand:
     """A sum that is not recomputed may keep what is no longer reported."""
 
     def test_sum_of_several_peers(self) -> None:
-        totals = peer_demand.DemandTotals()
+        totals = peer_demand.PeerDemand()
         totals.update({"a": {KEY: 1500, OTHER_KEY: 10}, "b": {KEY: 500}})
         assert totals.totals == {KEY: 2000, OTHER_KEY: 10}
         assert totals.report_count == 2
 
     def test_new_report_replaces_the_previous_one(self) -> None:
-        totals = peer_demand.DemandTotals()
+        totals = peer_demand.PeerDemand()
         unchanged = {KEY: 7}
         totals.update({"a": {KEY: 1500, OTHER_KEY: 10}, "b": unchanged})
         totals.update({"a": {KEY: 200}, "b": unchanged})
         assert totals.totals == {KEY: 207}
 
     def test_peer_that_no_longer_counts(self) -> None:
-        totals = peer_demand.DemandTotals()
+        totals = peer_demand.PeerDemand()
         kept = {KEY: 500}
         totals.update({"a": {KEY: 1500, OTHER_KEY: 10}, "b": kept})
         totals.update({"b": kept})
@@ -31,7 +31,7 @@
         assert totals.report_count == 1
 
     def test_peer_that_returns_with_its_last_report(self) -> None:
-        totals = peer_demand.DemandTotals()
+        totals = peer_demand.PeerDemand()
         report = {KEY: 1500}
         totals.update({"a": report})
         totals.update({})
@@ -40,7 +40,7 @@
         assert totals.totals == {KEY: 1500}
 
     def test_equals_the_sum_over_all_after_many_updates(self) -> None:
-        totals = peer_demand.DemandTotals()
+        totals = peer_demand.PeerDemand()
         reports: dict[str, peer_demand.SlotDemand] = {}
         for step in range(200):
             reports = dict(reports)
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/quota_gate.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/quota_gate.py
@@ -38,7 +38,11 @@
             self._proceed(pending)
             return
 
+        is_decided = False
+
         def handle_decision(ticket: customer_account.Ticket) -> None:
+            nonlocal is_decided
+            is_decided = True
             pending.quota_ticket = ticket
             if ticket.refusal is None:
                 self._proceed(pending)
@@ -47,7 +51,8 @@
 
         max_wait_s = pending.expires_at - EXPIRY_MARGIN_S - now
         ticket = self._quotas.acquire(customer, handle_decision, max_wait_s)
-        if pending.quota_ticket is None:
+        # After a decision, its token may have been refunded already.
+        if not is_decided:
             pending.quota_ticket = ticket
 
     def cancel(self, pending: pending_request.PendingRequest) -> None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/share_gate.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/share_gate.py
@@ -1,4 +1,4 @@
-"""Admits the root requests of customers by their shares."""
+"""Admits root requests, those of customers by their shares."""
 
 from collections.abc import Hashable
 
