A sample of suspect nodes only does not hide the healthy ones

Cause: of a service with more than eight usable endpoints, candidates are built for a sample of four in this zone and four in the others, drawn before suspect nodes are set apart. If the sample had only suspect nodes, the request was sent to one of them while others were healthy: with no endpoint in the own zone and half of 16 others beside suspect nodes, for 4% of the requests (calculated). Before the sampling, endpoints beside suspect nodes were used only if there was no other.

Change: if a sample has only suspect nodes, all endpoints are considered.

Test: endpoint_directory_test, TestSuspectNodes.test_sample_of_suspect_nodes_only: one of 20 nodes is healthy and is the only candidate; fails before.

--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
@@ -129,7 +129,10 @@
                     state.rate_limit,
                 )
             )
-        return candidates or suspects
+        if candidates or rng is None or not suspects:
+            return candidates or suspects
+        # The sample may have missed the endpoints beside nodes that are not suspect.
+        return self.get_candidates(service, route, tried_nodes, now)
 
     def _get_usable_peers(
         self, service: str, tried_nodes: set[str], rng: random.Random | None
--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory_test.py
@@ -0,0 +1,60 @@
+"""Tests of the directory of endpoints."""
+
+import random
+import types
+
+from .. import node_test
+from . import endpoint_directory
+
+PEER_COUNT = 20
+
+
+class FakePeer:
+    """A peer of another zone that takes requests."""
+
+    load = 0
+    sent_since_report = 0
+    usable_slots = 10.0
+    own_times_s: dict[str, float] = {}
+    load_known_at = 0.0
+    takes_requests = True
+    zone = "zone-2"
+    state = types.SimpleNamespace(lame_duck=False, rate_limit=None)
+
+    def __init__(self, *, is_suspect: bool) -> None:
+        self._is_suspect = is_suspect
+
+    def is_suspect(self, now: float) -> bool:
+        """Returns whether its node does not reply."""
+        return self._is_suspect
+
+
+def build_directory(*healthy_nodes: str) -> endpoint_directory.EndpointDirectory:
+    """Builds a directory of endpoints beside suspect nodes, but for some."""
+    peers = {
+        node: FakePeer(is_suspect=node not in healthy_nodes)
+        for node in (f"n{number}" for number in range(PEER_COUNT))
+    }
+    fake_set = types.SimpleNamespace(get_service_peers=lambda service: peers)
+    settings = node_test.build_settings()
+    return endpoint_directory.EndpointDirectory(settings, None, fake_set)
+
+
+class TestSuspectNodes:
+    """Endpoints beside suspect nodes are used only if there is no other."""
+
+    def test_sample_of_suspect_nodes_only(self) -> None:
+        """Requests were sent to a suspect node while another one was healthy."""
+        directory = build_directory("n7")
+        for seed in range(20):
+            candidates = directory.get_candidates(
+                "stock", "find", set(), 0.0, random.Random(seed)
+            )
+            assert [each.node for each in candidates] == ["n7"]
+
+    def test_all_nodes_are_suspect(self) -> None:
+        directory = build_directory()
+        candidates = directory.get_candidates(
+            "stock", "find", set(), 0.0, random.Random(1)
+        )
+        assert candidates
