--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
@@ -2,7 +2,8 @@
 
 The node beside an endpoint keeps an index of the requests that run there. A request
 from that VM is a nested call of one of them if its ID extends the ID of that request,
-or if both have the same deadline. Otherwise it counts as a root request.
+or if both have the same deadline. Otherwise it counts as a root request. With customers
+in the config, the deadline does not count, see :mod:`.authentication`.
 """
 
 import bisect
@@ -179,9 +180,13 @@
         """Finds the running request whose whole ID an ID extends after a dot.
 
         Requests of other clients may have the same root ID, so that ID alone does not
-        tell for whom a request without a key runs.
+        tell for whom a request without a key runs. A request without an ID has none
+        that could be extended.
         """
-        related = self._requests_by_root.get(get_root_id(request_id), {})
+        root_id = get_root_id(request_id)
+        if not root_id:
+            return None
+        related = self._requests_by_root.get(root_id, {})
         extended = [
             request
             for request in related.values()
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
@@ -47,7 +47,7 @@
         self._local_endpoint = endpoint
         self._peers = peers
         self._failure_trackers: dict[str, failure_tracker.FailureTracker] = {}
-        self._demand_totals = peer_demand.DemandTotals()
+        self._peer_demand = peer_demand.PeerDemand()
         self._peer_occupancies = peer_occupancies.PeerOccupancies()
         self.occupancy = occupancy.OccupancyTracker()
 
@@ -129,7 +129,10 @@
                     state.rate_limit,
                 )
             )
-        return candidates or suspects
+        if candidates or rng is None or not suspects:
+            return candidates or suspects
+        # The sample may have missed the endpoints beside nodes that are not suspect.
+        return self.get_candidates(service, route, tried_nodes, now)
 
     def _get_usable_peers(
         self, service: str, tried_nodes: set[str], rng: random.Random | None
@@ -300,7 +303,7 @@
         """
         if connected is None:
             connected = self.get_connected_peers()
-        totals = self._demand_totals
+        totals = self._peer_demand
         totals.update(
             {
                 peer.address: peer.slot_demand
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -141,6 +141,7 @@
         pending.is_receiving = False
         now = self._loop.time()
         if self.is_blocked(pending, now):
+            self._head_checker.withdraw(pending)
             self.refuse(pending, data.RefusalReason.BLOCKED)
             return
         self._dispatch(pending, now)
@@ -279,6 +280,9 @@
             pending.service, pending.route.name, pending.tried_nodes, now
         ):
             return
+        # A request that has reached all endpoints goes only to those that rejected it.
+        if not handover.get_candidates(self._endpoints, pending, now, None):
+            return
         if (
             self._retry_policy.decide_and_charge(pending, now)
             is not retry_policy.RetryDecision.ALLOWED
