Trailers of a chunked request are dropped and limited

Headers after a chunked body were appended to the headers of the head, which had been checked already: a second Host header or a request ID was forwarded unchecked. Their size was not limited, and the budget of bodies does not count them. They are now dropped, and a body with far more framing than content gets 400. Both tests of TestTrailers failed before.

--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
@@ -107,7 +107,8 @@
         if not self._receiving:
             self._receiving = True
             self.receive_started_at = self._server.loop.time()
-        if self._partial_request is not None:
+        body = self._arriving_body
+        if body is not None:
             self.body_received_at = self._server.loop.time()
         try:
             self._parser.feed_data(received)
@@ -115,6 +116,9 @@
             self.reject(400)
         if self._continues_head and self._partial_request is None:
             self._count_head_bytes(len(received))
+        elif body is not None and body is self._arriving_body:
+            if not body.count_bytes(len(received)):
+                self.reject(400)
 
     def on_message_begin(self) -> None:
         """Resets the parser state for a new request."""
@@ -129,8 +133,9 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Appends a header."""
-        self._headers.append((name.lower(), value))
+        """Appends a header; drops a trailer, which was not checked with the head."""
+        if self._partial_request is None:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Validates the complete head; starts to decide on a request with a body."""
@@ -142,11 +147,9 @@
         request.keep_alive = parser.should_keep_alive()
         limits = self._server.limits
         framing = http_head.parse_framing(self._headers)
-        if framing.header_bytes + len(self._target) > limits.max_header_bytes:
-            self.reject(431)
-            return
-        if not framing.is_valid:
-            self.reject(400)
+        is_too_long = framing.header_bytes + len(self._target) > limits.max_header_bytes
+        if is_too_long or not framing.is_valid:
+            self.reject(431 if is_too_long else 400)
             return
         self._partial_request = request
         if framing.declared_bytes != 0:
@@ -176,7 +179,11 @@
             return
         body = request.incoming_body
         if body is not None:
-            self._complete_body(request, body)
+            body.is_complete = True
+            if request is self._active_request and body.is_accepted:
+                self._handle_complete(request)
+            elif self._active_request is None:
+                self.idle_since = self._server.loop.time()
             return
         if self._active_request is not None:
             self._pipelined.append(request)
@@ -202,7 +209,7 @@
         body = request.incoming_body
         body.is_accepted = True
         if body.is_complete:
-            self._handle_complete(request, body)
+            self._handle_complete(request)
             return
         if body.awaits_continue:
             body.expects_continue = False
@@ -337,19 +344,8 @@
             return
         self._start(request)
 
-    def _complete_body(
-        self, request: Request, body: incoming_body.IncomingBody
-    ) -> None:
-        body.is_complete = True
-        if request is self._active_request and body.is_accepted:
-            self._handle_complete(request, body)
-        elif self._active_request is None:
-            self.idle_since = self._server.loop.time()
-
-    def _handle_complete(
-        self, request: Request, body: incoming_body.IncomingBody
-    ) -> None:
-        request.body = body.take()
+    def _handle_complete(self, request: Request) -> None:
+        request.body = request.incoming_body.take()
         self._server.handler(self, request)
 
     def _start(self, request: Request) -> None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1_bodies_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1_bodies_test.py
@@ -275,3 +275,37 @@
             assert testbed.failures == [incoming_body.BodyFailure.INVALID]
 
         run(check)
+
+
+class TestTrailers:
+    """Tests of headers that follow a chunked body."""
+
+    def test_they_are_dropped(self) -> None:
+        """A second Host header after the body would be forwarded unchecked."""
+
+        async def test(testbed: ServerTestbed) -> None:
+            testbed.writer.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+            testbed.writer.write(b"1\r\na\r\n0\r\nHost: y\r\nX-Id: 1\r\n\r\n")
+            assert b" 200 " in await read_head(testbed)
+            (request,) = testbed.requests
+            assert request.get_headers(b"host") == [b"x"]
+            assert request.get_header(b"x-id") is None
+
+        run(test)
+
+    def test_endless_trailers(self) -> None:
+        """Trailers are held outside the budget, so their size is limited."""
+
+        async def test(testbed: ServerTestbed) -> None:
+            testbed.writer.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+            testbed.writer.write(b"1\r\na\r\n0\r\n")
+            for _ in range(200):
+                if testbed.failures:
+                    break
+                testbed.writer.write(b"X-Big: %b\r\n" % (b"b" * 1000))
+                await asyncio.sleep(0.001)
+            assert b" 400 " in await read_head(testbed)
+            assert testbed.failures == [incoming_body.BodyFailure.INVALID]
+            assert not testbed.requests
+
+        run(test)
--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/incoming_body.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/incoming_body.py
@@ -6,6 +6,10 @@
 
 # Rest of a refused body that is discarded so that the connection can be kept open.
 MAX_SHORT_REST_BYTES = 64 * 1024
+# Bytes of a chunked body outside its content: trailers and the framing of chunks, of
+# which small ones have many times the bytes of their content.
+MAX_OVERHEAD_BYTES = 64 * 1024
+MAX_FRAMING_RATIO = 8
 
 
 class BodyFailure(enum.Enum):
@@ -36,6 +40,7 @@
         "_content",
         "_max_bytes",
         "_reserved_bytes",
+        "_total_bytes",
         "declared_bytes",
         "expects_continue",
         "failure",
@@ -57,6 +62,7 @@
         self._content: bytes | bytearray = b""
         self._max_bytes = max_bytes
         self._reserved_bytes = 0
+        self._total_bytes = 0
         self.declared_bytes = declared_bytes
         self.expects_continue = expects_continue
         self.failure: BodyFailure | None = None
@@ -112,6 +118,17 @@
             self._content += chunk
         return self.failure
 
+    def count_bytes(self, count: int) -> bool:
+        """Counts bytes after the head; returns whether most are content.
+
+        The parser holds the trailers of a chunked body, which are not in the budget.
+        """
+        self._total_bytes += count
+        overhead_bytes = self._total_bytes - self.received_bytes
+        return overhead_bytes <= (
+            MAX_OVERHEAD_BYTES + MAX_FRAMING_RATIO * self.received_bytes
+        )
+
     def take(self) -> bytes:
         """Returns the complete body; its room stays reserved until it is released."""
         content, self._content = self._content, b""
