A request that asks for another protocol gets one response, never two

The parser raises at the end of such a request and skips its body. If the response was sent at once, as 401, 404 and 429 are, a second one with status 400 followed on the connection, where a client takes it for the response to its next request. A request with a body was run without the body. The first response now closes the connection, and a request with a body gets 400 by its head. Of TestUpgrade, test_one_response and test_body failed before.

--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
@@ -144,11 +144,14 @@
         parser = self._parser
         request = Request(parser.get_method(), self._target, self._headers)
         request.head_received_at = self._server.loop.time()
-        request.keep_alive = parser.should_keep_alive()
+        is_upgrade = parser.should_upgrade()
+        request.keep_alive = parser.should_keep_alive() and not is_upgrade
         limits = self._server.limits
         framing = http_head.parse_framing(self._headers)
         is_too_long = framing.header_bytes + len(self._target) > limits.max_header_bytes
-        if is_too_long or not framing.is_valid:
+        # The parser skips the body of a request that asks for another protocol.
+        is_skipped = is_upgrade and framing.declared_bytes != 0
+        if is_too_long or not framing.is_valid or is_skipped:
             self.reject(431 if is_too_long else 400)
             return
         self._partial_request = request
@@ -416,7 +419,9 @@
             self._transport.close()
             return
         # The parser finds the end of the body; what follows an error has no end.
-        with contextlib.suppress(httptools.HttpParserError):
+        with contextlib.suppress(
+            httptools.HttpParserUpgrade, httptools.HttpParserError
+        ):
             self._parser.feed_data(received)
 
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1_test.py
@@ -189,3 +189,32 @@
 
         asyncio.run(asyncio.wait_for(run(), TIMEOUT_S))
         assert cancelled == [True]
+
+
+class TestUpgrade:
+    """Tests of requests that ask for another protocol."""
+
+    REQUEST = (
+        b"GET /a HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+    )
+
+    def test_one_response(self) -> None:
+        """A second response would be taken for that to the client's next request."""
+        received, requests = exchange_bytes(self.REQUEST)
+        assert len(requests) == 1
+        assert received.count(b"HTTP/1.1 ") == 1
+        assert b"Connection: close" in received
+
+    def test_late_response(self) -> None:
+        """The response is sent although the connection carries no further request."""
+        received, requests = exchange_bytes(self.REQUEST, response_delay_s=0.05)
+        assert len(requests) == 1
+        assert received.startswith(b"HTTP/1.1 200 ")
+        assert received.count(b"HTTP/1.1 ") == 1
+
+    def test_body(self) -> None:
+        """The parser skips the body, so the request would run without it."""
+        head, _, _ = self.REQUEST.replace(b"GET", b"POST").partition(b"\r\n\r\n")
+        received, requests = exchange_bytes(head + b"\r\nContent-Length: 3\r\n\r\nabc")
+        assert not requests
+        assert received.startswith(b"HTTP/1.1 400 ")
