An exception in a handler of requests or responses is logged

The parser turns an exception of a callback into an error of its own, which the connections took for an invalid message: the exception was dropped without a log line, and a request whose handler had failed stayed active without a response. The error now reaches the event loop, which logs it and ends the connection, and the handler is told.

--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
@@ -25,7 +25,6 @@
 CLOSING_DISCARD_TIMEOUT_S = 2.0
 BODY_FAILURE_HEADERS = {incoming_body.BodyFailure.NO_ROOM: b"Retry-After: 1\r\n"}
 
-Headers = http_head.Headers
 Request = http_request.Request
 Handler = Callable[["ServerConnection", Request], None]
 
@@ -56,7 +55,7 @@
         self._closing = False
         self._discardable_bytes = 0
         self._target = b""
-        self._headers: Headers = []
+        self._headers: http_head.Headers = []
         self._received_bytes = 0
         self._partial_request: Request | None = None
         self._receiving = False
@@ -112,6 +111,8 @@
             self.body_received_at = self._server.loop.time()
         try:
             self._parser.feed_data(received)
+        except httptools.HttpParserCallbackError:
+            raise  # an exception of the handler: the event loop logs it
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self.reject(400)
         if self._continues_head and self._partial_request is None:
@@ -356,12 +357,11 @@
         body = request.incoming_body
         if body is None:
             self._server.handler(self, request)
-            return
-        if body.failure is incoming_body.BodyFailure.TOO_LARGE:
+        elif body.failure is incoming_body.BodyFailure.TOO_LARGE:
             self.send_status(413)
-            return
-        self._server.check_head(self, request)
-        self._update_reading()
+        else:
+            self._server.check_head(self, request)
+            self._update_reading()
 
     def _fail_body(self, failure: incoming_body.BodyFailure) -> None:
         """Ends the active request because its body cannot be read to its end."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1_bodies_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1_bodies_test.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP/1.1 server with bodies that arrive in parts or never."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 
 from .. import data
@@ -309,3 +310,26 @@
             assert not testbed.requests
 
         run(test)
+
+
+class TestFailingHandler:
+    """Tests of an exception in the handler."""
+
+    def test_it_is_logged_and_ends_the_connection(self) -> None:
+        """A request whose handler failed would stay active, without a log line."""
+
+        def fail(connection: http1.ServerConnection) -> None:
+            raise LookupError("handler")
+
+        async def test(testbed: ServerTestbed) -> None:
+            errors: list[BaseException] = []
+            asyncio.get_running_loop().set_exception_handler(
+                lambda _, context: errors.append(context["exception"].__context__)
+            )
+            testbed.writer.write(HEAD + b"Content-Length: 1\r\n\r\na")
+            with contextlib.suppress(ConnectionError):
+                assert not await testbed.reader.read()
+            assert testbed.cancelled
+            assert [type(error) for error in errors] == [LookupError]
+
+        run(test, fail)
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
@@ -186,6 +186,8 @@
         self._received_bytes += len(received)
         try:
             self._parser.feed_data(received)
+        except httptools.HttpParserCallbackError:
+            raise  # an exception of a callback: the event loop logs it
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(data.RefusalReason.BROKEN_ANSWER)
             self.abort()
--- a/packages/catkintiller-relay/src/catkintiller_relay/telemetry/status_pages.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/telemetry/status_pages.py
@@ -63,9 +63,9 @@
 
         The metrics are sent whatever the path is, except for that of the customers.
         """
-        url = urllib.parse.urlsplit(request.target.decode("latin-1"))
-        if url.path == CUSTOMERS_PATH:
-            name = urllib.parse.parse_qs(url.query).get("name", [""])[0]
+        path, _, query = request.target.decode("latin-1").partition("?")
+        if path == CUSTOMERS_PATH:
+            name = urllib.parse.parse_qs(query).get("name", [""])[0]
             body = self._encode_customers(name)
             connection.send_status(200, JSON_HEADERS, body)
             return
