Room of a response that is not forwarded is given back at once

The body of a refusal, or of a response without a signature, and its room in the budget of all bodies were kept until the next response on the connection or its end, so idle connections took room from uploads. test_room_of_a_response_that_is_not_forwarded_is_given_back failed before.

--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
@@ -369,6 +369,8 @@
             return
         self._exchange = None
         exchange.connection = None
+        body = b"".join(self._body_chunks)
+        self._drop_body()
         self._release_connection(headers, reusable)
         if self._is_not_run():
             reason = data.RefusalReason.ENDPOINT_REFUSED
@@ -380,8 +382,6 @@
             reason = data.RefusalReason.BROKEN_ANSWER
             exchange.complete(data.Outcome.UNKNOWN, reason, status)
             return
-        body = b"".join(self._body_chunks)
-        self._drop_body()
         head = b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n" % (
             status,
             self._reason_phrase or b"Status",
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client_test.py
@@ -130,6 +130,16 @@
         assert completion.outcome is data.Outcome.ANSWERED
         assert completion.body == b"hello"
 
+    def test_room_of_a_response_that_is_not_forwarded_is_given_back(self) -> None:
+        """An idle connection would keep the body of a refusal and its room."""
+        for header in (b"X-Not-Run: 1\r\n", b""):
+            head = b"HTTP/1.1 200 OK\r\nX-Id: %b\r\n" + header
+            length = b"Content-Length: 20000\r\n\r\n"
+            script = build_script(head, length, b"b" * 20_000, close=False)
+            (completion,), pool = send_requests(script)
+            assert completion.outcome is not data.Outcome.ANSWERED
+            assert pool.budget.used_bytes == 0
+
     def test_error_status_is_kept(self) -> None:
         response = (
             b"HTTP/1.1 500 No\r\nX-Id: %b\r\nX-Sign: s\r\nContent-Length: 0\r\n\r\n"
