A planned stop waits for bodies that are on their way

A node that stops was idle once it had no pending request and nothing queued at its endpoint. A body of which a part had arrived from a peer, possibly while it waited for room, was cut: its outcome is unknown, and an upload is not sent again. The node now waits for both, until shortly before the platform ends the process. Two tests of shutdown_test failed with the former conditions; TestTransfers in body_connection_test shows what counts as on its way.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection_test.py
@@ -353,3 +353,32 @@
             assert pair.results[b"large"].outcome is data.Outcome.ANSWERED
 
         run(check)
+
+
+class TestTransfers:
+    """A node that stops must know of the bodies that are on their way."""
+
+    def test_frame_that_arrives(self) -> None:
+        async def check(pair: Pair) -> None:
+            pair.submit(b"first", LARGE_BODY)
+            await pair.wait_for_attempts(1)
+            assert not pair.server.is_transferring_body
+            frame = frames.encode(frames.Cancel(99))
+            pair.incoming[1].data_received(frame[:-1])
+            assert pair.server.is_transferring_body
+            pair.incoming[1].data_received(frame[-1:])
+            assert not pair.server.is_transferring_body
+
+        run(check)
+
+    def test_response_that_leaves(self) -> None:
+        async def check(pair: Pair) -> None:
+            pair.submit(b"first", LARGE_BODY)
+            await pair.wait_for_attempts(1)
+            # More than the buffers of the kernel hold.
+            pair.respond(0, LARGE_BODY * 100)
+            assert pair.server.is_transferring_body
+            await peer_set_test.wait_until(lambda: b"first" in pair.results)
+            await peer_set_test.wait_until(lambda: not pair.server.is_transferring_body)
+
+        run(check)
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -49,6 +49,17 @@
         """Whether the peer has introduced itself and its version has crash reports."""
         return self._protocol >= frames.CRASH_REPORT_VERSION
 
+    @property
+    def is_transferring_body(self) -> bool:
+        """Whether part of a message has arrived or left on the second connection."""
+        second = self._other
+        if second is None or second._transport is None:
+            return False
+        return bool(
+            second._decoder.pending_frame_bytes
+            or second._transport.get_write_buffer_size()
+        )
+
     @property
     def _is_open(self) -> bool:
         return self._transport is not None and not self._transport.is_closing()
@@ -298,6 +309,13 @@
         rounds = -(-len(self._connections) // REPORTS_PER_ROUND)
         return REPORT_ROUND_INTERVAL_S * max(1, rounds)
 
+    @property
+    def is_transferring_body(self) -> bool:
+        """Whether part of a message with a large body has arrived or left."""
+        return any(
+            each.is_transferring_body for each in self.first_connections.values()
+        )
+
     async def listen(self, address: str) -> None:
         """Starts to accept connections at an address."""
         host, _, port = address.rpartition(":")
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -201,6 +201,7 @@
             self._local_endpoint,
             self._forwarder,
             self._outbound_server,
+            self._peer_server,
             self._broadcast_state,
         )
         self._was_accepting = self._local_endpoint.accepting
--- a/packages/catkintiller-relay/src/catkintiller_relay/shutdown.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/shutdown.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from .ingress import http1
+from .membership import peer_server
 from .routing import forwarder
 from .serving import local_endpoint
 
@@ -21,6 +22,7 @@
     """The graceful shutdown of a node.
 
     :param grace_s: time after which the platform kills the process, in seconds.
+    :param server_for_peers: accepts the connections of other nodes.
     :param broadcast_state: sends the node state to the connected nodes.
     """
 
@@ -31,6 +33,7 @@
         endpoint: local_endpoint.LocalEndpoint,
         node_forwarder: forwarder.Forwarder,
         outbound_server: http1.HttpServer,
+        server_for_peers: peer_server.PeerServer,
         broadcast_state: Callable[[], None],
     ) -> None:
         self._loop = loop
@@ -38,6 +41,7 @@
         self._endpoint = endpoint
         self._forwarder = node_forwarder
         self._server = outbound_server
+        self._peer_server = server_for_peers
         self._broadcast_state = broadcast_state
         self._started_at = 0.0
 
@@ -53,8 +57,7 @@
         latest_end_at = self._started_at + self._grace_s - KILL_MARGIN_S
         while True:
             now = self._loop.time()
-            busy = self._forwarder.pending_count or self._endpoint.queue.load
-            if now >= latest_end_at or (now >= close_at and not busy):
+            if now >= latest_end_at or (now >= close_at and not self._is_busy()):
                 break
             if now >= close_at - REFUSE_BEFORE_CLOSE_S:
                 self._refuse_root_requests()
@@ -64,6 +67,16 @@
         self._server.stop_listening()
         self._server.close_idle()
         await asyncio.sleep(REPLY_FLUSH_S)
+        # A connection ends when the client has read the response.
+        while self._server.connections and self._loop.time() < latest_end_at:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
+    def _is_busy(self) -> bool:
+        return bool(
+            self._forwarder.pending_count
+            or self._endpoint.queue.load
+            or self._peer_server.is_transferring_body
+        )
 
     def _refuse_root_requests(self) -> None:
         if self._endpoint.lame_duck_ended:
--- /dev/null
+++ b/packages/catkintiller-relay/src/catkintiller_relay/shutdown_test.py
@@ -0,0 +1,117 @@
+"""Tests of the graceful shutdown of a node."""
+
+import asyncio
+import types
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from . import shutdown
+
+GRACE_S = 60.0
+TIMEOUT_S = 10.0
+
+
+class FakeServer:
+    """The server for clients; a connection ends when its response has been read.
+
+    :ivar connections: connections whose responses have not been read.
+    """
+
+    def __init__(self) -> None:
+        self.connections: set[str] = set()
+        self.closing = False
+        self.is_listening = True
+
+    def stop_listening(self) -> None:
+        """Records the call."""
+        self.is_listening = False
+
+    def close_idle(self) -> None:
+        """Does nothing: what has not been read keeps the connections open."""
+
+
+class Stop:
+    """A node that stops, with fakes of its parts."""
+
+    def __init__(self) -> None:
+        self.server = FakeServer()
+        self.peer_server = types.SimpleNamespace(is_transferring_body=False)
+        self._shutdown = shutdown.Shutdown(
+            asyncio.get_running_loop(),
+            GRACE_S,
+            types.SimpleNamespace(
+                queue=types.SimpleNamespace(load=0),
+                stopping=False,
+                lame_duck_ended=False,
+            ),
+            types.SimpleNamespace(pending_count=0, stopping=False),
+            self.server,
+            self.peer_server,
+            lambda: None,
+        )
+
+    def begin(self) -> asyncio.Task:
+        """Starts the shutdown."""
+        self._shutdown.start()
+        return asyncio.create_task(self._shutdown.serve_pending())
+
+
+@pytest.fixture(autouse=True)
+def without_pauses(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Lets the shutdown go on as fast as its conditions allow."""
+    for name in ("MIN_SHUTDOWN_S", "REPLY_FLUSH_S", "CHECK_INTERVAL_S"):
+        monkeypatch.setattr(shutdown, name, 0.0)
+
+
+def run(test: Callable[[Stop], Awaitable[None]]) -> None:
+    """Runs a test."""
+
+    async def check() -> None:
+        await test(Stop())
+
+    asyncio.run(asyncio.wait_for(check(), TIMEOUT_S))
+
+
+async def run_steps() -> None:
+    """Lets the shutdown check its conditions several times."""
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
+class TestBodies:
+    """A planned stop must not cut a body that is on its way."""
+
+    def test_frame_of_a_peer(self) -> None:
+        """An upload that is cut has an unknown outcome and cannot be sent again."""
+
+        async def check(stop: Stop) -> None:
+            stop.peer_server.is_transferring_body = True
+            task = stop.begin()
+            await run_steps()
+            assert not task.done()
+            assert stop.server.is_listening
+            stop.peer_server.is_transferring_body = False
+            await task
+
+        run(check)
+
+    def test_response_to_a_client(self) -> None:
+        """A large response leaves the process after the request is answered."""
+
+        async def check(stop: Stop) -> None:
+            stop.server.connections.add("slow")
+            task = stop.begin()
+            await run_steps()
+            assert not task.done()
+            assert not stop.server.is_listening
+            stop.server.connections.clear()
+            await task
+
+        run(check)
+
+    def test_nothing_on_its_way(self) -> None:
+        async def check(stop: Stop) -> None:
+            await stop.begin()
+
+        run(check)
