Results that are lost with the second connection are reported

A large result of an attempt that had arrived on the first connection leaves on the second one. If only that was lost, nobody knew of the loss: the attempt had no result until its deadline, and the client got 504 late instead of a retry. The node that sent such results reports them as unknown on the first connection; the peer ignores those that have arrived. test_lost_result failed before.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection_test.py
@@ -303,6 +303,26 @@
 
         run(check)
 
+    def test_lost_result(self) -> None:
+        """An attempt would have no result if that is lost with another connection."""
+
+        async def check(pair: Pair) -> None:
+            pair.submit(b"upload", LARGE_BODY)
+            pair.submit(b"answered", SMALL_BODY)
+            pair.submit(b"lost", SMALL_BODY)
+            await pair.wait_for_attempts(3)
+            ids = pair.get_ids()
+            pair.respond(ids.index(b"answered"), LARGE_BODY)
+            await peer_set_test.wait_until(lambda: b"answered" in pair.results)
+            pair.respond(ids.index(b"lost"), LARGE_BODY * 100)
+            pair.incoming[1]._transport.abort()
+            await peer_set_test.wait_until(lambda: b"lost" in pair.results)
+            assert pair.results[b"lost"].outcome is data.Outcome.UNKNOWN
+            assert pair.results[b"answered"].outcome is data.Outcome.ANSWERED
+            assert pair.peer.connected
+
+        run(check)
+
     def test_lost_first_connection(self) -> None:
         async def check(pair: Pair) -> None:
             pair.submit(b"first", LARGE_BODY)
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 
 from .. import data, sockets
 from ..ingress import body_budget
@@ -16,6 +17,7 @@
 REPORT_ROUND_INTERVAL_S = 0.25
 REPORTS_PER_ROUND = 20
 ROOM_CHECK_INTERVAL_S = 0.02
+MAX_REMEMBERED_RESULTS = 64
 
 
 class IncomingConnection(asyncio.Protocol):
@@ -34,6 +36,9 @@
         self._transport: asyncio.Transport | None = None
         self._executions: dict[int, attempts.Execution] = {}
         self._held_bytes: dict[int, int] = {}
+        self._moved_results: collections.deque[int] = collections.deque(
+            maxlen=MAX_REMEMBERED_RESULTS
+        )
         self._protocol = 0
         self._link: tuple[str, int] | None = None
         self._other: IncomingConnection | None = None
@@ -157,9 +162,33 @@
         other, self._other = self._other, None
         if other is not None:
             other._other = None
-            if other._carries_bodies and other._transport is not None:
+            if self._carries_bodies:
+                other._report_lost_results()
+            elif other._transport is not None:
                 other._transport.abort()
 
+    def _report_lost_results(self) -> None:
+        """Tells the peer that results may be lost with the second connection.
+
+        Without it, the attempts that arrived here would have no result until their
+        deadline. The peer ignores the numbers of those whose results have arrived.
+        """
+        queue = self._server.local_endpoint.queue
+        for number in self._moved_results:
+            self.send(
+                frames.Reply(
+                    number,
+                    int(data.Outcome.UNKNOWN),
+                    data.RefusalReason.NODE_LOST.value,
+                    0,
+                    queue.load,
+                    int(queue.service_time_s * 1e6),
+                    b"",
+                    b"",
+                )
+            )
+        self._moved_results.clear()
+
     def _reserve_frame(self) -> None:
         """Reserves room for the frame that arrives; waits for it if there is none.
 
@@ -256,7 +285,10 @@
                 self._release_body(number)
             queue = self._server.local_endpoint.queue
             own_s = self._server.get_own_s(message.route)
-            self._choose_connection(result.body).send(
+            connection = self._choose_connection(result.body)
+            if connection._carries_bodies and connection is not self:
+                self._moved_results.append(number)
+            connection.send(
                 frames.Reply(
                     number,
                     int(result.outcome),
