A peer whose connection cannot be used counts as unreachable

A connection that had ended before the task that opened it went on was kept as the connection to the peer: the peer was taken for reachable for more than a second, and the ended connection stayed in the list of replaced ones for ever. An invalid address in a message of another node raised an exception that was not handled, ten times per second without end, and such a member was never removed. Both tests of TestConnecting failed before.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -369,7 +369,10 @@
                 self._create_connection, host, int(port)
             )
             _, connection = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
-        except (TimeoutError, OSError):
+            if not connection.usable:
+                raise ConnectionResetError
+        except (TimeoutError, OSError, ValueError, OverflowError):
+            # ValueError and OverflowError: a message gave an invalid address.
             delay_s = self._backoff_s * self._rng.uniform(0.7, 1.3)
             self._reconnect_at = self.loop.time() + delay_s
             self._backoff_s = min(MAX_BACKOFF_S, 2 * self._backoff_s)
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections_test.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+from collections.abc import Callable
+from unittest import mock
 
 import msgspec
 
@@ -56,6 +58,45 @@
         peer_set_test.run(check)
 
 
+class TestConnecting:
+    """A peer that cannot be connected must be noticed and tried again later."""
+
+    def test_connection_that_is_lost_at_once(self) -> None:
+        """It would count as connected, and the peer would be left out for a second."""
+
+        async def check() -> None:
+            loop = asyncio.get_running_loop()
+            peer = build_peer("127.0.0.1:9")
+
+            async def connect(create: Callable, host: str, port: int) -> tuple:
+                connection = create()
+                connection.connection_lost(None)
+                return None, connection
+
+            with mock.patch.object(loop, "create_connection", connect):
+                peer.tick(loop.time())
+                await peer_set_test.wait_until(lambda: not peer._tasks)
+            assert peer.is_suspect(loop.time())
+            assert peer.unreachable_since is not None
+            assert not peer._connecting
+
+        peer_set_test.run(check)
+
+    def test_address_that_is_none(self) -> None:
+        """It would be tried ten times per second without end."""
+
+        async def check() -> None:
+            loop = asyncio.get_running_loop()
+            for address in ("", "127.0.0.1:x", "127.0.0.1:99999"):
+                peer = build_peer(address)
+                peer.tick(loop.time())
+                await peer_set_test.wait_until(lambda peer=peer: not peer._tasks)
+                assert peer.unreachable_since is not None
+                assert not peer._connecting
+
+        peer_set_test.run(check)
+
+
 class TestLoadReport:
     """Figures follow each load report, not only the rarer node states."""
 
@@ -79,11 +120,16 @@
     loop = asyncio.get_running_loop()
     server = peer_set_test.SilentServer()
     await server.start()
-    hello = frames.Hello(frames.PROTOCOL_VERSION, "127.0.0.1:9", "z", "boot")
-    address = f"127.0.0.1:{server.port}"
-    peer = connections.Peer(
-        loop, address, "z", hello, CountingObserver(), random.Random(1)
-    )
+    peer = build_peer(f"127.0.0.1:{server.port}")
     peer.tick(loop.time())
     await peer_set_test.wait_until(lambda: server.writer and peer.connected)
     return peer, server
+
+
+def build_peer(address: str) -> connections.Peer:
+    """Builds a peer that is not connected."""
+    loop = asyncio.get_running_loop()
+    hello = frames.Hello(frames.PROTOCOL_VERSION, "127.0.0.1:9", "z", "boot")
+    return connections.Peer(
+        loop, address, "z", hello, CountingObserver(), random.Random(1)
+    )
