Connections to the endpoint no longer refer to their pool's module

endpoint_client and endpoint_pool named each other in annotations, and crash_detector was part of the circle. The connections now know an abstract owner.

--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
@@ -4,19 +4,17 @@
 responses are complete messages; bodies are not streamed.
 """
 
+import abc
 import asyncio
 import collections
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 import httptools
 
 from .. import data, sockets
+from ..ingress import body_budget
 from . import response_notices
 
-if TYPE_CHECKING:
-    from . import endpoint_pool
-
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 KEEP_ALIVE_MARGIN_S = 1.5
 REMEMBERED_REQUEST_COUNT = 8
@@ -115,15 +113,47 @@
             self.connection.abort()
 
 
+class ConnectionOwner(abc.ABC):
+    """Owns the connections to the endpoint and is told what happens to them.
+
+    :ivar header_names: names of the headers that the node interprets.
+    :ivar budget: memory limit that all bodies share.
+    """
+
+    header_names: data.HeaderNames
+    budget: body_budget.BodyBudget
+
+    @abc.abstractmethod
+    def add(self, connection: "EndpointConnection") -> None:
+        """Adds a connection that was established."""
+
+    @abc.abstractmethod
+    def remove(self, connection: "EndpointConnection") -> None:
+        """Removes a closed connection."""
+
+    @abc.abstractmethod
+    def release(self, connection: "EndpointConnection") -> None:
+        """Takes back an idle connection."""
+
+    @abc.abstractmethod
+    def handle_lost(self, exchange: Exchange) -> None:
+        """Handles a request whose connection ended before its response."""
+
+    @abc.abstractmethod
+    def count_stray_response(self) -> None:
+        """Counts a response that matches no request."""
+
+
 class EndpointConnection(asyncio.Protocol):
     """One connection to the endpoint.
 
+    :param owner: owner of all connections to the endpoint.
     :ivar idle_since: time of the event loop when it became idle, in seconds.
     :ivar idle_timeout_s: time for which it may be idle and still be reused, in seconds.
     """
 
-    def __init__(self, pool: "endpoint_pool.EndpointConnectionPool") -> None:
-        self._pool = pool
+    def __init__(self, owner: ConnectionOwner) -> None:
+        self._owner = owner
         self._carried_ids: collections.deque[bytes] = collections.deque(
             maxlen=REMEMBERED_REQUEST_COUNT
         )
@@ -154,7 +184,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Stores the transport and enables TCP keepalive."""
         self._transport = transport
-        self._pool.add(self)
+        self._owner.add(self)
         sockets.enable_keepalive(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -165,7 +195,7 @@
         """
         self._transport = None
         self._unsent_body = None
-        self._pool.remove(self)
+        self._owner.remove(self)
         if self._exchange is None:
             self._drop_body()
             return
@@ -176,7 +206,7 @@
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
             exchange.connection = None
-            self._pool.crash_detector.handle_lost(exchange)
+            self._owner.handle_lost(exchange)
 
     def data_received(self, received: bytes) -> None:
         """Feeds received bytes to the parser; aborts on unexpected or invalid ones."""
@@ -235,7 +265,7 @@
             and status != response_notices.MISDIRECTED_REQUEST_STATUS
             and self._is_response_to(exchange)
         ):
-            names = self._pool.header_names
+            names = self._owner.header_names
             exchange.on_notice(response_notices.parse_notice(self._headers, names))
 
     def on_body(self, chunk: bytes) -> None:
@@ -243,7 +273,7 @@
         if self._exchange is None:
             return
         self._body_bytes += len(chunk)
-        budget = self._pool.budget
+        budget = self._owner.budget
         if self._body_bytes <= MAX_UNRESERVED_BODY_BYTES:
             budget.take(len(chunk))
         elif self._body_bytes > MAX_RESPONSE_BODY_BYTES or not budget.reserve(
@@ -338,7 +368,7 @@
         """Returns whether the response says that the request did not run."""
         status = self._parser.get_status_code()
         return (
-            self._pool.header_names.not_run in self._values
+            self._owner.header_names.not_run in self._values
             or status == response_notices.MISDIRECTED_REQUEST_STATUS
         )
 
@@ -347,7 +377,7 @@
 
         A response that says that the request did not run may lack the request ID.
         """
-        request_id = self._values.get(self._pool.header_names.request_id)
+        request_id = self._values.get(self._owner.header_names.request_id)
         if request_id is None:
             return self._is_not_run()
         return request_id == exchange.request_id
@@ -356,12 +386,12 @@
         exchange = self._exchange
         if exchange is None:
             return
-        header_names = self._pool.header_names
+        header_names = self._owner.header_names
         headers = self._values
         status = self._parser.get_status_code()
         if not self._is_response_to(exchange):
             # The response is for another request; the expected one may still follow.
-            self._pool.count_stray_response()
+            self._owner.count_stray_response()
             self._received_bytes = 0
             if not reusable or header_names.request_id not in headers:
                 self._fail(data.RefusalReason.BROKEN_ANSWER)
@@ -405,13 +435,13 @@
             if self._transport is not None:
                 self._transport.abort()
         elif reusable and self.idle_timeout_s > 0 and self.usable:
-            self._pool.release(self)
+            self._owner.release(self)
         elif self._transport is not None:
             self._transport.close()
 
     def _drop_body(self) -> None:
         reserved_bytes, self._reserved_bytes = self._reserved_bytes, 0
-        self._pool.budget.release(reserved_bytes)
+        self._owner.budget.release(reserved_bytes)
         self._body_bytes = 0
         self._body_chunks = []
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_pool.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_pool.py
@@ -12,7 +12,7 @@
 MAX_FAILED_CONNECTS = 3
 
 
-class EndpointConnectionPool:
+class EndpointConnectionPool(endpoint_client.ConnectionOwner):
     """Pool of connections to the local endpoint.
 
     The connection that was released last is reused first.
@@ -106,6 +106,10 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
+    def handle_lost(self, exchange: endpoint_client.Exchange) -> None:
+        """Handles a request whose connection ended before its response."""
+        self.crash_detector.handle_lost(exchange)
+
     def count_stray_response(self) -> None:
         """Counts a response that matches no request."""
         self.stray_response_count += 1
