Connections to peers and their observer no longer refer to each other's module

connections, outgoing_connection and peer_observer named each other in annotations. An outgoing connection now knows an abstract owner, and the observer gets the address of a peer, which is all that it used.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -36,7 +36,7 @@
 MAX_BACKOFF_S = 1.5
 
 
-class Peer:
+class Peer(outgoing_connection.ConnectionOwner):
     """Another node, as seen from this one.
 
     :param address: address where it accepts connections of other nodes.
@@ -263,7 +263,7 @@
                 route: own_us / 1e6 for route, own_us, _ in message.route_times
             }
             self._handle_load_report(message.load_report)
-            self._observer.handle_state(self, message)
+            self._observer.handle_state(self.address, message)
         elif isinstance(message, frames.ConfigReply):
             self._observer.handle_config(message)
         elif isinstance(message, frames.CrashReport):
@@ -271,7 +271,7 @@
         elif isinstance(message, frames.ClearedRequests):
             self._observer.handle_cleared_requests(message)
         elif isinstance(message, frames.QuotaReply):
-            self._observer.handle_quota_reply(self, message)
+            self._observer.handle_quota_reply(self.address, message)
 
     def _handle_load_report(self, report: frames.LoadReport) -> None:
         self.update_load(report.load, report.service_time_us)
@@ -286,7 +286,9 @@
 
     def handle_invalid_message(self, why: str) -> None:
         """Reports a message that cannot be decoded; the connection is aborted."""
-        self._observer.handle_peer_event(self, f"sent an invalid message: {why}")
+        self._observer.handle_peer_event(
+            self.address, f"sent an invalid message: {why}"
+        )
 
     def handle_connection_lost(
         self, connection: outgoing_connection.OutgoingConnection
@@ -297,7 +299,7 @@
         if connection is self._connection:
             self._connection = None
             self.unreachable_since = self.loop.time()
-            self._observer.handle_peer_event(self, "connection lost")
+            self._observer.handle_peer_event(self.address, "connection lost")
 
     def tick(self, now: float) -> None:
         """Replaces the connection to an unresponsive peer and opens a missing one.
@@ -344,7 +346,7 @@
             self._replaced_connections.append(connection)
             self._connection = None
             self.unreachable_since = now
-            self._observer.handle_peer_event(self, "unresponsive")
+            self._observer.handle_peer_event(self.address, "unresponsive")
         if unanswered_s > SUSPECT_AFTER_S:
             connection.notify_suspect()
 
@@ -386,4 +388,4 @@
         self._backoff_s = MIN_BACKOFF_S
         self._reconnect_at = 0.0
         self.unreachable_since = None
-        self._observer.handle_peer_event(self, "connected")
+        self._observer.handle_peer_event(self.address, "connected")
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
@@ -159,7 +159,7 @@
     def __init__(self) -> None:
         self.state_count = 0
 
-    def handle_state(self, peer: connections.Peer, state: frames.NodeState) -> None:
+    def handle_state(self, address: str, state: frames.NodeState) -> None:
         """Counts a node state."""
         self.state_count += 1
 
@@ -202,10 +202,8 @@
         """Returns nothing."""
         return None
 
-    def handle_quota_reply(
-        self, peer: connections.Peer, reply: frames.QuotaReply
-    ) -> None:
+    def handle_quota_reply(self, address: str, reply: frames.QuotaReply) -> None:
         """Does nothing."""
 
-    def handle_peer_event(self, peer: connections.Peer, event: str) -> None:
+    def handle_peer_event(self, address: str, event: str) -> None:
         """Does nothing."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/outgoing_connection.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/outgoing_connection.py
@@ -1,8 +1,9 @@
 """A connection that this node opened to a peer."""
 
+import abc
 import asyncio
 from collections.abc import Callable
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 import msgspec
 
@@ -10,9 +11,6 @@
 from ..serving import attempts
 from . import body_connection, frames
 
-if TYPE_CHECKING:
-    from . import connections
-
 CompletionHandler = Callable[[attempts.AttemptResult], None]
 SuspectHandler = Callable[[], None]
 
@@ -39,12 +37,56 @@
     on_suspect: SuspectHandler
 
 
+class ConnectionOwner(abc.ABC):
+    """The peer that a connection was opened to, as this node knows it.
+
+    :ivar loop: event loop of the connection.
+    :ivar address: address where the peer accepts connections of other nodes.
+    :ivar hello: message that identifies this node on new connections.
+    :ivar utilization: arriving work over the work that its endpoint can do.
+    :ivar own_times_s: own times at its endpoint by route, in seconds.
+    """
+
+    loop: asyncio.AbstractEventLoop
+    address: str
+    hello: frames.Hello
+    utilization: float
+    own_times_s: dict[str, float]
+
+    @property
+    @abc.abstractmethod
+    def handles_load_requests(self) -> bool:
+        """Whether the peer's version of the protocol has load requests."""
+
+    @property
+    @abc.abstractmethod
+    def handles_body_connections(self) -> bool:
+        """Whether the peer's version of the protocol has body connections."""
+
+    @abc.abstractmethod
+    def update_load(self, load: int, service_time_us: int) -> None:
+        """Sets the load of the peer's endpoint, as the peer reported it."""
+
+    @abc.abstractmethod
+    def handle_message(self, message: frames.Message) -> None:
+        """Handles a message other than a reply to a request."""
+
+    @abc.abstractmethod
+    def handle_invalid_message(self, why: str) -> None:
+        """Reports a message that cannot be decoded; the connection is aborted."""
+
+    @abc.abstractmethod
+    def handle_connection_lost(self, connection: "OutgoingConnection") -> None:
+        """Handles the end of a connection to the peer."""
+
+
 class OutgoingConnection(asyncio.Protocol, body_connection.BodyConnectionOwner):
     """A connection that this node opened to a peer; requests are sent on it.
 
     Requests with large bodies are sent on a second connection. Their results are kept
     here as well, whichever connection they arrive on.
 
+    :param peer: peer that it was opened to.
     :param number: number of the connection among those to the peer.
     :ivar outstanding: attempts without a result, by number in the order of sending.
     :ivar last_received_at: time of the event loop when bytes last arrived, in
@@ -53,7 +95,7 @@
         yet, in seconds; None without one.
     """
 
-    def __init__(self, peer: "connections.Peer", number: int) -> None:
+    def __init__(self, peer: ConnectionOwner, number: int) -> None:
         self._peer = peer
         self._number = number
         self._bodies: body_connection.OutgoingBodyConnection | None = None
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_observer.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_observer.py
@@ -1,19 +1,15 @@
 """Interface through which connections between nodes reach the node itself."""
 
 import abc
-from typing import TYPE_CHECKING
 
 from . import frames
 
-if TYPE_CHECKING:
-    from . import connections
-
 
 class PeerObserver(abc.ABC):
     """Handles the messages and events of peers, and provides what they request."""
 
     @abc.abstractmethod
-    def handle_state(self, peer: "connections.Peer", state: frames.NodeState) -> None:
+    def handle_state(self, address: str, state: frames.NodeState) -> None:
         """Handles the node state of a peer."""
 
     @abc.abstractmethod
@@ -39,7 +35,7 @@
         """Builds the load report to send to peers."""
 
     @abc.abstractmethod
-    def handle_peer_event(self, peer: "connections.Peer", event: str) -> None:
+    def handle_peer_event(self, address: str, event: str) -> None:
         """Handles a change of the connection to a peer.
 
         :param event: description of the change, used in a log line.
@@ -67,9 +63,7 @@
         """
 
     @abc.abstractmethod
-    def handle_quota_reply(
-        self, peer: "connections.Peer", reply: frames.QuotaReply
-    ) -> None:
+    def handle_quota_reply(self, address: str, reply: frames.QuotaReply) -> None:
         """Handles the reply of a peer to a request for tokens."""
 
     @abc.abstractmethod
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -10,7 +10,6 @@
 from .ingress import body_budget, http1
 from .membership import (
     config_sync,
-    connections,
     frames,
     node_state,
     peer_observer,
@@ -258,9 +257,9 @@
         self._log.write("node", "Background task failed.", why=repr(self._failure))
         self._stopping.set()
 
-    def handle_state(self, peer: connections.Peer, state: frames.NodeState) -> None:
+    def handle_state(self, address: str, state: frames.NodeState) -> None:
         """Updates the peer's service and adds its edges to the call graph."""
-        member = subsetting.Member(peer.address, state.zone, state.service)
+        member = subsetting.Member(address, state.zone, state.service)
         self._peers.add_member(member)
         if state.restore_count:
             self._store_watcher.handle_restore_count(state.restore_count)
@@ -300,11 +299,9 @@
         """Grants tokens to a peer that may follow this node."""
         return self._quotas.handle_request(sender, request)
 
-    def handle_quota_reply(
-        self, peer: connections.Peer, reply: frames.QuotaReply
-    ) -> None:
+    def handle_quota_reply(self, address: str, reply: frames.QuotaReply) -> None:
         """Adds the tokens that a peer granted."""
-        self._quotas.handle_reply(peer.address, reply)
+        self._quotas.handle_reply(address, reply)
 
     def _send_crash_message(
         self, message: crash_reporter.CrashMessage, service: str | None
@@ -341,10 +338,10 @@
         if self._state_builder.record_change(state):
             self._peer_server.broadcast(state)
 
-    def handle_peer_event(self, peer: connections.Peer, event: str) -> None:
+    def handle_peer_event(self, address: str, event: str) -> None:
         """Logs a change of the connection to a peer."""
         if self._log.reserve_line("peer"):
-            self._log.write("peer", f"Peer {event}.", peer=peer.address)
+            self._log.write("peer", f"Peer {event}.", peer=address)
 
     def _create_server(self, handler: http1.Handler) -> http1.HttpServer:
         return http1.HttpServer(
