Invalid messages on all connections between nodes are logged

An invalid message on a second connection, or on a connection that another node opened, ended the connection without a log line. test_invalid_message failed before.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection.py
@@ -28,6 +28,10 @@
     def handle_reply(self, reply: frames.Reply) -> None:
         """Handles the result of an attempt."""
 
+    @abc.abstractmethod
+    def handle_invalid_message(self, why: str) -> None:
+        """Reports a message that cannot be decoded; the connection is aborted."""
+
     @abc.abstractmethod
     def handle_unconnected(self, messages: list[frames.Submit]) -> None:
         """Handles the messages that were not sent because no connection was opened."""
@@ -130,7 +134,8 @@
         """Passes on the results that are complete."""
         try:
             messages = self._decoder.feed(received)
-        except data.DecodeError:
+        except data.DecodeError as error:
+            self._owner.handle_invalid_message(str(error))
             self._transport.abort()
             return
         for message in messages:
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection_test.py
@@ -79,6 +79,7 @@
 class Pair:
     """A peer, and the node that it stands for.
 
+    :ivar observer: observer of the peer.
     :ivar results: results by the request ID of their attempts.
     :ivar incoming: connections that the node accepted.
     """
@@ -98,12 +99,13 @@
         listener = await self.loop.create_server(self._accept, "127.0.0.1", 0)
         port = listener.sockets[0].getsockname()[1]
         hello = frames.Hello(frames.PROTOCOL_VERSION, "127.0.0.1:9", "z", "boot")
+        self.observer = CountingObserver()
         self.peer = connections.Peer(
             self.loop,
             f"127.0.0.1:{port}",
             "z",
             hello,
-            CountingObserver(),
+            self.observer,
             random.Random(1),
         )
         self.peer.tick(self.loop.time())
@@ -323,6 +325,22 @@
 
         run(check)
 
+    def test_invalid_message(self) -> None:
+        """It ends the connection that it arrives on, and each side logs it."""
+
+        async def check(pair: Pair) -> None:
+            pair.submit(b"first", LARGE_BODY)
+            await pair.wait_for_attempts(1)
+            invalid_frame = b"\0\0\0\1\0"
+            pair.incoming[1].write(invalid_frame)
+            await peer_set_test.wait_until(lambda: b"first" in pair.results)
+            assert pair.peer.connected
+            assert any("invalid message" in event for event in pair.observer.events)
+            pair.incoming[0].data_received(invalid_frame)
+            assert any("invalid" in each for each in pair.server.observer.events)
+
+        run(check)
+
     def test_lost_first_connection(self) -> None:
         async def check(pair: Pair) -> None:
             pair.submit(b"first", LARGE_BODY)
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
@@ -158,6 +158,7 @@
 
     def __init__(self) -> None:
         self.state_count = 0
+        self.events: list[str] = []
 
     def handle_state(self, address: str, state: frames.NodeState) -> None:
         """Counts a node state."""
@@ -206,4 +207,5 @@
         """Does nothing."""
 
     def handle_peer_event(self, address: str, event: str) -> None:
-        """Does nothing."""
+        """Records an event."""
+        self.events.append(event)
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/outgoing_connection.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/outgoing_connection.py
@@ -138,7 +138,7 @@
         try:
             messages = self._decoder.feed(received)
         except data.DecodeError as error:
-            self._peer.handle_invalid_message(str(error))
+            self.handle_invalid_message(str(error))
             self.abort()
             return
         self.last_received_at = self._peer.loop.time()
@@ -214,7 +214,7 @@
             reason = data.RefusalReason(reply.reason) if reply.reason else None
         except ValueError:
             # The attempt ends with the connection, its outcome unknown.
-            self._peer.handle_invalid_message(f"outcome {reply.outcome} {reply.reason}")
+            self.handle_invalid_message(f"outcome {reply.outcome} {reply.reason}")
             self.abort()
             return
         self._peer.update_load(reply.load, reply.service_time_us)
@@ -233,6 +233,10 @@
             )
         )
 
+    def handle_invalid_message(self, why: str) -> None:
+        """Reports a message that cannot be decoded, from either connection."""
+        self._peer.handle_invalid_message(why)
+
     def handle_unconnected(self, messages: list[frames.Submit]) -> None:
         """Sends attempts on this connection because there is no second one."""
         self._bodies = None
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -91,7 +91,9 @@
         """Handles the messages that are complete."""
         try:
             messages = self._decoder.feed(received)
-        except data.DecodeError:
+        except data.DecodeError as error:
+            event = f"sent an invalid message: {error}"
+            self._server.observer.handle_peer_event(self.address, event)
             if self._transport is not None:
                 self._transport.abort()
             return
