The whole body of an attempt is counted, whatever message came before it

If the end of a short message and an attempt arrived together on the second connection, the attempt's body was counted with the length of the short message, so bodies could take more memory than the limit. test_room_of_another_message_is_not_taken_for_that_of_a_body failed before.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection_test.py
@@ -381,6 +381,26 @@
 
         run(check)
 
+    def test_room_of_another_message_is_not_taken_for_that_of_a_body(self) -> None:
+        """A body would be counted with the length of the message before it."""
+
+        async def check(pair: Pair) -> None:
+            pair.submit(b"first", LARGE_BODY)
+            await pair.wait_for_attempts(1)
+            pair.respond(0, b"")
+            cancel = frames.encode(frames.Cancel(99))
+            submit = frames.Submit(
+                100, b"second", "r", "pay", 0, False, 5000, 1000, b"", LARGE_BODY
+            )
+            connection = pair.incoming[1]
+            connection.data_received(cancel[:-1])
+            connection.data_received(cancel[-1:] + frames.encode(submit))
+            assert pair.budget.used_bytes >= len(LARGE_BODY)
+            pair.respond(1, b"")
+            assert pair.budget.used_bytes == 0
+
+        run(check)
+
     def test_node_that_does_not_know_the_first_connection(self) -> None:
         async def check(pair: Pair) -> None:
             pair.server.first_connections.clear()
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -223,10 +223,10 @@
 
     def _hold_body(self, number: int, body: bytes) -> None:
         """Counts a body as long as its attempt has no result."""
-        held_bytes, self._frame_bytes = self._frame_bytes, 0
-        if not held_bytes:
-            held_bytes = len(body)
-            self._server.budget.take(held_bytes)
+        reserved_bytes, self._frame_bytes = self._frame_bytes, 0
+        # The reservation may be that of a shorter message before this one.
+        held_bytes = max(reserved_bytes, len(body))
+        self._server.budget.take(held_bytes - reserved_bytes)
         self._held_bytes[number] = held_bytes
 
     def _release_body(self, number: int) -> None:
