The late end of a former connection leaves that of its successor known

A peer that was removed and added again numbers its connections from the start. When the former connection with the same number ended later, for example after a partition, the present one was forgotten, and large bodies went over the first connection from then on, in front of small messages. test_late_end_of_a_former_first_connection failed before.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection_test.py
@@ -401,6 +401,21 @@
 
         run(check)
 
+    def test_late_end_of_a_former_first_connection(self) -> None:
+        """A peer that was removed and added again counts its connections anew."""
+
+        async def check(pair: Pair) -> None:
+            (link,) = pair.server.first_connections
+            former = peer_server.IncomingConnection(pair.server)
+            former._link = link
+            former.connection_lost(None)
+            pair.submit(b"large", LARGE_BODY)
+            await pair.wait_for_attempts(1)
+            assert len(pair.incoming) == 2
+            assert pair.incoming[0]._other is pair.incoming[1]
+
+        run(check)
+
     def test_node_that_does_not_know_the_first_connection(self) -> None:
         async def check(pair: Pair) -> None:
             pair.server.first_connections.clear()
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -159,8 +159,9 @@
 
     def _unlink(self) -> None:
         """Ends the relation to the other connection; the second one ends as well."""
-        if self._link is not None:
-            self._server.first_connections.pop(self._link, None)
+        first_connections = self._server.first_connections
+        if self._link is not None and first_connections.get(self._link) is self:
+            del first_connections[self._link]
         other, self._other = self._other, None
         if other is not None:
             other._other = None
