--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection.py
@@ -37,7 +37,7 @@
         """Handles the messages that were not sent because no connection was opened."""
 
     @abc.abstractmethod
-    def handle_bodies_lost(
+    def handle_body_connection_lost(
         self, sent_numbers: set[int], unsent: list[frames.Submit]
     ) -> None:
         """Handles the loss of the connection.
@@ -128,7 +128,7 @@
             self._confirmed.set_exception(ConnectionResetError())
             return
         self._closed = True
-        self._owner.handle_bodies_lost(self._sent_numbers, self._pop_unsent())
+        self._owner.handle_body_connection_lost(self._sent_numbers, self._pop_unsent())
 
     def data_received(self, received: bytes) -> None:
         """Passes on the results that are complete."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection_test.py
@@ -407,12 +407,12 @@
         async def check(pair: Pair) -> None:
             (link,) = pair.server.first_connections
             former = peer_server.IncomingConnection(pair.server)
-            former._link = link
+            former._connection_key = link
             former.connection_lost(None)
             pair.submit(b"large", LARGE_BODY)
             await pair.wait_for_attempts(1)
             assert len(pair.incoming) == 2
-            assert pair.incoming[0]._other is pair.incoming[1]
+            assert pair.incoming[0]._paired_connection is pair.incoming[1]
 
         run(check)
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/outgoing_connection.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/outgoing_connection.py
@@ -98,7 +98,7 @@
     def __init__(self, peer: ConnectionOwner, number: int) -> None:
         self._peer = peer
         self._number = number
-        self._bodies: body_connection.OutgoingBodyConnection | None = None
+        self._body_connection: body_connection.OutgoingBodyConnection | None = None
         self._decoder = frames.FrameDecoder()
         self._transport: asyncio.Transport | None = None
         self.outstanding: dict[int, OutstandingAttempt] = {}
@@ -124,9 +124,9 @@
         self._transport = None
         outstanding, self.outstanding = self.outstanding, {}
         unsent_numbers: set[int] = set()
-        if self._bodies is not None:
-            unsent_numbers = self._bodies.close()
-            self._bodies = None
+        if self._body_connection is not None:
+            unsent_numbers = self._body_connection.close()
+            self._body_connection = None
         self._peer.handle_connection_lost(self)
         for number, attempt in outstanding.items():
             attempt.on_complete(
@@ -145,7 +145,7 @@
         self.probed_at = None
         for message in messages:
             if type(message) is frames.Reply:
-                self._open_bodies_for(message)
+                self._open_body_connection_for(message)
                 self.handle_reply(message)
             else:
                 self._peer.handle_message(message)
@@ -157,7 +157,7 @@
             len(message.body) >= frames.LARGE_BODY_BYTES
             and self._peer.handles_body_connections
         ):
-            self._get_bodies().submit(message)
+            self._get_body_connection().submit(message)
         else:
             self.send(message)
 
@@ -170,7 +170,7 @@
         """Cancels an attempt whose result is no longer needed, if it has none yet."""
         if self.outstanding.pop(number, None) is None:
             return
-        if self._bodies is None or not self._bodies.cancel(number):
+        if self._body_connection is None or not self._body_connection.cancel(number):
             self.send(frames.Cancel(number))
 
     def probe(self, now: float) -> None:
@@ -223,8 +223,8 @@
         attempt = self.outstanding.pop(reply.number, None)
         if attempt is None:
             return
-        if self._bodies is not None:
-            self._bodies.forget(reply.number)
+        if self._body_connection is not None:
+            self._body_connection.forget(reply.number)
         if reply.own_time_us:
             self._peer.own_times_s[attempt.route] = reply.own_time_us / 1e6
         attempt.on_complete(
@@ -239,40 +239,40 @@
 
     def handle_unconnected(self, messages: list[frames.Submit]) -> None:
         """Sends attempts on this connection because there is no second one."""
-        self._bodies = None
+        self._body_connection = None
         for message in messages:
             self.send(message)
 
-    def handle_bodies_lost(
+    def handle_body_connection_lost(
         self, sent_numbers: set[int], unsent: list[frames.Submit]
     ) -> None:
         """Handles the end of the second connection.
 
         The outcome of what was sent on it is unknown. The rest is sent on a new one.
         """
-        self._bodies = None
+        self._body_connection = None
         for message in unsent:
-            self._get_bodies().submit(message)
+            self._get_body_connection().submit(message)
         for number in sent_numbers:
             attempt = self.outstanding.pop(number, None)
             if attempt is not None:
                 attempt.on_complete(_LOST_RESULT)
 
-    def _get_bodies(self) -> body_connection.OutgoingBodyConnection:
+    def _get_body_connection(self) -> body_connection.OutgoingBodyConnection:
         """Returns the second connection; starts to open it when it is first needed."""
-        if self._bodies is None:
+        if self._body_connection is None:
             peer = self._peer
             hello = frames.BodyHello(peer.hello.boot_id, self._number)
-            self._bodies = body_connection.OutgoingBodyConnection(
+            self._body_connection = body_connection.OutgoingBodyConnection(
                 peer.loop, peer.address, hello, self
             )
-            self._bodies.open()
-        return self._bodies
+            self._body_connection.open()
+        return self._body_connection
 
-    def _open_bodies_for(self, reply: frames.Reply) -> None:
+    def _open_body_connection_for(self, reply: frames.Reply) -> None:
         """Opens the second connection for the large responses that may follow."""
         if (
             len(reply.body) >= frames.LARGE_BODY_BYTES
             and self._peer.handles_body_connections
         ):
-            self._get_bodies()
+            self._get_body_connection()
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -40,8 +40,8 @@
             maxlen=MAX_REMEMBERED_RESULTS
         )
         self._protocol = 0
-        self._link: tuple[str, int] | None = None
-        self._other: IncomingConnection | None = None
+        self._connection_key: tuple[str, int] | None = None
+        self._paired_connection: IncomingConnection | None = None
         self._carries_bodies = False
         self._frame_bytes = 0
         self._frame_started_at = 0.0
@@ -57,7 +57,7 @@
     @property
     def is_transferring_body(self) -> bool:
         """Whether part of a message has arrived or left on the second connection."""
-        second = self._other
+        second = self._paired_connection
         if second is None or second._transport is None:
             return False
         return bool(
@@ -133,8 +133,8 @@
         self.service = message.service
         self.needs_every_report = message.protocol < frames.LOAD_REQUEST_VERSION
         if message.connection_number:
-            self._link = (message.boot_id, message.connection_number)
-            self._server.first_connections[self._link] = self
+            self._connection_key = (message.boot_id, message.connection_number)
+            self._server.first_connections[self._connection_key] = self
         self._server.observer.handle_hello(message)
         handover = self._server.observer.build_crash_handover()
         if handover is not None and self.takes_crash_reports:
@@ -148,23 +148,26 @@
         link = (message.boot_id, message.connection_number)
         first = self._server.first_connections.get(link)
         self._server.remove(self)
-        if first is None or first._other is not None:
+        if first is None or first._paired_connection is not None:
             self._transport.abort()
             return
         self._carries_bodies = True
         self._protocol = first._protocol
-        self._other, first._other = first, self
+        self._paired_connection, first._paired_connection = first, self
         sockets.limit_send_buffer(self._transport, body_connection.SEND_BUFFER_BYTES)
         self.send(message)
 
     def _unlink(self) -> None:
         """Ends the relation to the other connection; the second one ends as well."""
         first_connections = self._server.first_connections
-        if self._link is not None and first_connections.get(self._link) is self:
-            del first_connections[self._link]
-        other, self._other = self._other, None
+        if (
+            self._connection_key is not None
+            and first_connections.get(self._connection_key) is self
+        ):
+            del first_connections[self._connection_key]
+        other, self._paired_connection = self._paired_connection, None
         if other is not None:
-            other._other = None
+            other._paired_connection = None
             if self._carries_bodies:
                 other._report_lost_results()
             elif other._transport is not None:
@@ -242,9 +245,9 @@
     def _choose_connection(self, body: bytes) -> "IncomingConnection":
         """Returns the connection for a result, by the size of its body."""
         is_large = len(body) >= frames.LARGE_BODY_BYTES
-        if self._other is None or is_large == self._carries_bodies:
+        if self._paired_connection is None or is_large == self._carries_bodies:
             return self
-        return self._other
+        return self._paired_connection
 
     def _handle_quota_request(self, message: frames.QuotaRequest) -> None:
         if not self.address or self._protocol < frames.QUOTA_VERSION:
@@ -282,34 +285,39 @@
             message.may_hand_over,
         )
 
-        def send_reply(result: attempts.AttemptResult) -> None:
-            self._executions.pop(number, None)
-            if message.body:
-                self._release_body(number)
-            queue = self._server.local_endpoint.queue
-            own_s = self._server.get_own_s(message.route)
-            connection = self._choose_connection(result.body)
-            if connection._carries_bodies and connection is not self:
-                self._moved_results.append(number)
-            connection.send(
-                frames.Reply(
-                    number,
-                    int(result.outcome),
-                    self._get_reason(result),
-                    result.status,
-                    queue.load,
-                    int(queue.service_time_s * 1e6),
-                    result.head,
-                    result.body,
-                    round(queue.utilization * frames.UTILIZATION_SCALE),
-                    int(own_s * 1e6),
-                )
-            )
-
-        execution = self._server.local_endpoint.submit(attempt, send_reply)
+        execution = self._server.local_endpoint.submit(
+            attempt, lambda result: self._send_result(message, result)
+        )
         if execution.on_complete is not None:
             self._executions[number] = execution
 
+    def _send_result(
+        self, message: frames.Submit, result: attempts.AttemptResult
+    ) -> None:
+        """Sends the result of an attempt, on the connection for its size."""
+        number = message.number
+        self._executions.pop(number, None)
+        self._release_body(number)
+        queue = self._server.local_endpoint.queue
+        own_s = self._server.get_own_s(message.route)
+        connection = self._choose_connection(result.body)
+        if connection._carries_bodies and connection is not self:
+            self._moved_results.append(number)
+        connection.send(
+            frames.Reply(
+                number,
+                int(result.outcome),
+                self._get_reason(result),
+                result.status,
+                queue.load,
+                int(queue.service_time_s * 1e6),
+                result.head,
+                result.body,
+                round(queue.utilization * frames.UTILIZATION_SCALE),
+                int(own_s * 1e6),
+            )
+        )
+
     def _send_config(self, request: frames.ConfigRequest) -> None:
         reply = self._server.observer.build_config_reply(request)
         if reply is not None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/telemetry/customer_counts.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/telemetry/customer_counts.py
@@ -7,12 +7,11 @@
 from collections.abc import Iterable
 
 from .. import data
+from . import metrics
 
 NAMED_COUNT = 8
 ANSWERED = "answered"
 
-_ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n"})
-
 
 class CustomerCounts:
     """Results of root requests by customer.
@@ -53,7 +52,7 @@
         )
         named = by_size[:NAMED_COUNT]
         lines = [
-            f'catkintiller_customer_requests_total{{customer="{_escape(name)}",'
+            f'catkintiller_customer_requests_total{{customer="{metrics.escape_label(name)}",'
             f'result="{result}"}} {count}'
             for name in sorted(named)
             for result, count in sorted(self._counts[name].items())
@@ -71,8 +70,3 @@
 def _add(sums: dict[str, int], counts: dict[str, int]) -> None:
     for result, count in counts.items():
         sums[result] = sums.get(result, 0) + count
-
-
-def _escape(name: str) -> str:
-    """Escapes a name as the value of a label."""
-    return name.translate(_ESCAPES)
