A connection that is accepted late does not delay a planned stop

It is idle and was not closed, so the stop waited for it until the end of the grace period. test_connection_that_is_accepted_late failed before.

--- a/packages/catkintiller-relay/src/catkintiller_relay/shutdown.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/shutdown.py
@@ -69,6 +69,7 @@
         await asyncio.sleep(REPLY_FLUSH_S)
         # A connection ends when the client has read the response.
         while self._server.connections and self._loop.time() < latest_end_at:
+            self._server.close_idle()
             await asyncio.sleep(CHECK_INTERVAL_S)
 
     def _is_busy(self) -> bool:
--- a/packages/catkintiller-relay/src/catkintiller_relay/shutdown_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/shutdown_test.py
@@ -28,7 +28,8 @@
         self.is_listening = False
 
     def close_idle(self) -> None:
-        """Does nothing: what has not been read keeps the connections open."""
+        """Ends what is idle; what has not been read keeps a connection open."""
+        self.connections.discard("idle")
 
 
 class Stop:
@@ -110,6 +111,19 @@
 
         run(check)
 
+    def test_connection_that_is_accepted_late(self) -> None:
+        """An idle connection must not delay the stop until the grace period ends."""
+
+        async def check(stop: Stop) -> None:
+            stop.server.connections.add("slow")
+            task = stop.begin()
+            await run_steps()
+            stop.server.connections.add("idle")
+            stop.server.connections.discard("slow")
+            await task
+
+        run(check)
+
     def test_nothing_on_its_way(self) -> None:
         async def check(stop: Stop) -> None:
             await stop.begin()
