--- a/packages/catkintiller-relay/src/catkintiller_relay/telemetry/status_pages_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/telemetry/status_pages_test.py
@@ -2,6 +2,8 @@
 
 import types
 
+import pytest
+
 from ..ingress import http1
 from . import metrics, status_pages
 
@@ -20,7 +22,7 @@
 class TestMetrics:
     """Tests of the targets of the metrics port."""
 
-    def _get(self, target: bytes, monkeypatch) -> bytes:
+    def _get(self, target: bytes, monkeypatch: pytest.MonkeyPatch) -> bytes:
         monkeypatch.setattr(status_pages.gauges, "set_gauges", lambda *args: None)
         values = types.SimpleNamespace(
             config_version=1, is_quota_coordinator=None, quota_follower_count=0
@@ -39,11 +41,11 @@
         pages.handle_metrics(connection, http1.Request(b"GET", target, []))
         return connection.body
 
-    def test_target_that_is_no_url(self, monkeypatch) -> None:
+    def test_target_that_is_no_url(self, monkeypatch: pytest.MonkeyPatch) -> None:
         """A target with an invalid host raised, and got no response."""
         assert b"text" in self._get(b"//[", monkeypatch)
 
-    def test_customer(self, monkeypatch) -> None:
+    def test_customer(self, monkeypatch: pytest.MonkeyPatch) -> None:
         """The query names a customer."""
         body = self._get(b"/customers?name=a%20b", monkeypatch)
         assert b'"customers":{"a b":{}}' in body
