A new second connection replaces one whose end was not noticed

A peer that had lost its second connection, for example to a time-out, opened another one. While the node still held the former one, it refused the new one, and large bodies went over the first connection, in front of small messages. The former one is now ended, with what runs for it. test_another_second_connection_replaces_the_former_one failed before.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection_test.py
@@ -416,6 +416,27 @@
 
         run(check)
 
+    def test_another_second_connection_replaces_the_former_one(self) -> None:
+        """A peer may know earlier than this node that the former one was lost."""
+
+        async def check(pair: Pair) -> None:
+            pair.submit(b"first", LARGE_BODY)
+            await pair.wait_for_attempts(1)
+            former = pair.incoming[1]
+            connection, _ = pair.submit(b"small", SMALL_BODY)
+            connection._body_connection.close()
+            connection._body_connection = None
+            # The end of the former one is not noticed before the next one begins.
+            former._transport.pause_reading()
+            pair.submit(b"second", LARGE_BODY)
+            await pair.wait_for_attempts(3)
+            assert pair.incoming[0]._paired_connection is pair.incoming[2]
+            execution = pair.endpoint.attempts[0][1]
+            await peer_set_test.wait_until(lambda: execution in pair.endpoint.cancelled)
+            assert pair.incoming[0]._paired_connection is pair.incoming[2]
+
+        run(check)
+
     def test_node_that_does_not_know_the_first_connection(self) -> None:
         async def check(pair: Pair) -> None:
             pair.server.first_connections.clear()
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -143,14 +143,19 @@
     def _handle_body_hello(self, message: frames.BodyHello) -> None:
         """Makes this the second connection of a peer, for messages with large bodies.
 
-        It gets no reports. If the first one is not known, the peer does without.
+        It gets no reports. If the first one is not known, the peer does without. It
+        replaces a former one, which the peer has lost.
         """
-        link = (message.boot_id, message.connection_number)
-        first = self._server.first_connections.get(link)
+        key = (message.boot_id, message.connection_number)
+        first = self._server.first_connections.get(key)
         self._server.remove(self)
-        if first is None or first._paired_connection is not None:
+        if first is None:
             self._transport.abort()
             return
+        former = first._paired_connection
+        if former is not None:
+            former._unlink()
+            former._transport.abort()
         self._carries_bodies = True
         self._protocol = first._protocol
         self._paired_connection, first._paired_connection = first, self
