--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection.py
@@ -28,12 +28,16 @@
     def handle_reply(self, reply: frames.Reply) -> None:
         """Handles the result of an attempt."""
 
+    @abc.abstractmethod
+    def handle_invalid_message(self, why: str) -> None:
+        """Reports a message that cannot be decoded; the connection is aborted."""
+
     @abc.abstractmethod
     def handle_unconnected(self, messages: list[frames.Submit]) -> None:
         """Handles the messages that were not sent because no connection was opened."""
 
     @abc.abstractmethod
-    def handle_bodies_lost(
+    def handle_body_connection_lost(
         self, sent_numbers: set[int], unsent: list[frames.Submit]
     ) -> None:
         """Handles the loss of the connection.
@@ -124,13 +128,14 @@
             self._confirmed.set_exception(ConnectionResetError())
             return
         self._closed = True
-        self._owner.handle_bodies_lost(self._sent_numbers, self._pop_unsent())
+        self._owner.handle_body_connection_lost(self._sent_numbers, self._pop_unsent())
 
     def data_received(self, received: bytes) -> None:
         """Passes on the results that are complete."""
         try:
             messages = self._decoder.feed(received)
-        except data.DecodeError:
+        except data.DecodeError as error:
+            self._owner.handle_invalid_message(str(error))
             self._transport.abort()
             return
         for message in messages:
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/body_connection_test.py
@@ -79,6 +79,7 @@
 class Pair:
     """A peer, and the node that it stands for.
 
+    :ivar observer: observer of the peer.
     :ivar results: results by the request ID of their attempts.
     :ivar incoming: connections that the node accepted.
     """
@@ -98,12 +99,13 @@
         listener = await self.loop.create_server(self._accept, "127.0.0.1", 0)
         port = listener.sockets[0].getsockname()[1]
         hello = frames.Hello(frames.PROTOCOL_VERSION, "127.0.0.1:9", "z", "boot")
+        self.observer = CountingObserver()
         self.peer = connections.Peer(
             self.loop,
             f"127.0.0.1:{port}",
             "z",
             hello,
-            CountingObserver(),
+            self.observer,
             random.Random(1),
         )
         self.peer.tick(self.loop.time())
@@ -303,6 +305,42 @@
 
         run(check)
 
+    def test_lost_result(self) -> None:
+        """An attempt would have no result if that is lost with another connection."""
+
+        async def check(pair: Pair) -> None:
+            pair.submit(b"upload", LARGE_BODY)
+            pair.submit(b"answered", SMALL_BODY)
+            pair.submit(b"lost", SMALL_BODY)
+            await pair.wait_for_attempts(3)
+            ids = pair.get_ids()
+            pair.respond(ids.index(b"answered"), LARGE_BODY)
+            await peer_set_test.wait_until(lambda: b"answered" in pair.results)
+            pair.respond(ids.index(b"lost"), LARGE_BODY * 100)
+            pair.incoming[1]._transport.abort()
+            await peer_set_test.wait_until(lambda: b"lost" in pair.results)
+            assert pair.results[b"lost"].outcome is data.Outcome.UNKNOWN
+            assert pair.results[b"answered"].outcome is data.Outcome.ANSWERED
+            assert pair.peer.connected
+
+        run(check)
+
+    def test_invalid_message(self) -> None:
+        """It ends the connection that it arrives on, and each side logs it."""
+
+        async def check(pair: Pair) -> None:
+            pair.submit(b"first", LARGE_BODY)
+            await pair.wait_for_attempts(1)
+            invalid_frame = b"\0\0\0\1\0"
+            pair.incoming[1].write(invalid_frame)
+            await peer_set_test.wait_until(lambda: b"first" in pair.results)
+            assert pair.peer.connected
+            assert any("invalid message" in event for event in pair.observer.events)
+            pair.incoming[0].data_received(invalid_frame)
+            assert any("invalid" in each for each in pair.server.observer.events)
+
+        run(check)
+
     def test_lost_first_connection(self) -> None:
         async def check(pair: Pair) -> None:
             pair.submit(b"first", LARGE_BODY)
@@ -343,6 +381,62 @@
 
         run(check)
 
+    def test_room_of_another_message_is_not_taken_for_that_of_a_body(self) -> None:
+        """A body would be counted with the length of the message before it."""
+
+        async def check(pair: Pair) -> None:
+            pair.submit(b"first", LARGE_BODY)
+            await pair.wait_for_attempts(1)
+            pair.respond(0, b"")
+            cancel = frames.encode(frames.Cancel(99))
+            submit = frames.Submit(
+                100, b"second", "r", "pay", 0, False, 5000, 1000, b"", LARGE_BODY
+            )
+            connection = pair.incoming[1]
+            connection.data_received(cancel[:-1])
+            connection.data_received(cancel[-1:] + frames.encode(submit))
+            assert pair.budget.used_bytes >= len(LARGE_BODY)
+            pair.respond(1, b"")
+            assert pair.budget.used_bytes == 0
+
+        run(check)
+
+    def test_late_end_of_a_former_first_connection(self) -> None:
+        """A peer that was removed and added again counts its connections anew."""
+
+        async def check(pair: Pair) -> None:
+            (link,) = pair.server.first_connections
+            former = peer_server.IncomingConnection(pair.server)
+            former._connection_key = link
+            former.connection_lost(None)
+            pair.submit(b"large", LARGE_BODY)
+            await pair.wait_for_attempts(1)
+            assert len(pair.incoming) == 2
+            assert pair.incoming[0]._paired_connection is pair.incoming[1]
+
+        run(check)
+
+    def test_another_second_connection_replaces_the_former_one(self) -> None:
+        """A peer may know earlier than this node that the former one was lost."""
+
+        async def check(pair: Pair) -> None:
+            pair.submit(b"first", LARGE_BODY)
+            await pair.wait_for_attempts(1)
+            former = pair.incoming[1]
+            connection, _ = pair.submit(b"small", SMALL_BODY)
+            connection._body_connection.close()
+            connection._body_connection = None
+            # The end of the former one is not noticed before the next one begins.
+            former._transport.pause_reading()
+            pair.submit(b"second", LARGE_BODY)
+            await pair.wait_for_attempts(3)
+            assert pair.incoming[0]._paired_connection is pair.incoming[2]
+            execution = pair.endpoint.attempts[0][1]
+            await peer_set_test.wait_until(lambda: execution in pair.endpoint.cancelled)
+            assert pair.incoming[0]._paired_connection is pair.incoming[2]
+
+        run(check)
+
     def test_node_that_does_not_know_the_first_connection(self) -> None:
         async def check(pair: Pair) -> None:
             pair.server.first_connections.clear()
@@ -353,3 +447,32 @@
             assert pair.results[b"large"].outcome is data.Outcome.ANSWERED
 
         run(check)
+
+
+class TestTransfers:
+    """A node that stops must know of the bodies that are on their way."""
+
+    def test_frame_that_arrives(self) -> None:
+        async def check(pair: Pair) -> None:
+            pair.submit(b"first", LARGE_BODY)
+            await pair.wait_for_attempts(1)
+            assert not pair.server.is_transferring_body
+            frame = frames.encode(frames.Cancel(99))
+            pair.incoming[1].data_received(frame[:-1])
+            assert pair.server.is_transferring_body
+            pair.incoming[1].data_received(frame[-1:])
+            assert not pair.server.is_transferring_body
+
+        run(check)
+
+    def test_response_that_leaves(self) -> None:
+        async def check(pair: Pair) -> None:
+            pair.submit(b"first", LARGE_BODY)
+            await pair.wait_for_attempts(1)
+            # More than the buffers of the kernel hold.
+            pair.respond(0, LARGE_BODY * 100)
+            assert pair.server.is_transferring_body
+            await peer_set_test.wait_until(lambda: b"first" in pair.results)
+            await peer_set_test.wait_until(lambda: not pair.server.is_transferring_body)
+
+        run(check)
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/outgoing_connection.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/outgoing_connection.py
@@ -1,8 +1,9 @@
 """A connection that this node opened to a peer."""
 
+import abc
 import asyncio
 from collections.abc import Callable
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 import msgspec
 
@@ -10,9 +11,6 @@
 from ..serving import attempts
 from . import body_connection, frames
 
-if TYPE_CHECKING:
-    from . import connections
-
 CompletionHandler = Callable[[attempts.AttemptResult], None]
 SuspectHandler = Callable[[], None]
 
@@ -39,12 +37,56 @@
     on_suspect: SuspectHandler
 
 
+class ConnectionOwner(abc.ABC):
+    """The peer that a connection was opened to, as this node knows it.
+
+    :ivar loop: event loop of the connection.
+    :ivar address: address where the peer accepts connections of other nodes.
+    :ivar hello: message that identifies this node on new connections.
+    :ivar utilization: arriving work over the work that its endpoint can do.
+    :ivar own_times_s: own times at its endpoint by route, in seconds.
+    """
+
+    loop: asyncio.AbstractEventLoop
+    address: str
+    hello: frames.Hello
+    utilization: float
+    own_times_s: dict[str, float]
+
+    @property
+    @abc.abstractmethod
+    def handles_load_requests(self) -> bool:
+        """Whether the peer's version of the protocol has load requests."""
+
+    @property
+    @abc.abstractmethod
+    def handles_body_connections(self) -> bool:
+        """Whether the peer's version of the protocol has body connections."""
+
+    @abc.abstractmethod
+    def update_load(self, load: int, service_time_us: int) -> None:
+        """Sets the load of the peer's endpoint, as the peer reported it."""
+
+    @abc.abstractmethod
+    def handle_message(self, message: frames.Message) -> None:
+        """Handles a message other than a reply to a request."""
+
+    @abc.abstractmethod
+    def handle_invalid_message(self, why: str) -> None:
+        """Reports a message that cannot be decoded; the connection is aborted."""
+
+    @abc.abstractmethod
+    def handle_connection_lost(self, connection: "OutgoingConnection") -> None:
+        """Handles the end of a connection to the peer."""
+
+
 class OutgoingConnection(asyncio.Protocol, body_connection.BodyConnectionOwner):
     """A connection that this node opened to a peer; requests are sent on it.
 
     Requests with large bodies are sent on a second connection. Their results are kept
     here as well, whichever connection they arrive on.
 
+    :param peer: peer that it was opened to.
     :param number: number of the connection among those to the peer.
     :ivar outstanding: attempts without a result, by number in the order of sending.
     :ivar last_received_at: time of the event loop when bytes last arrived, in
@@ -53,10 +95,10 @@
         yet, in seconds; None without one.
     """
 
-    def __init__(self, peer: "connections.Peer", number: int) -> None:
+    def __init__(self, peer: ConnectionOwner, number: int) -> None:
         self._peer = peer
         self._number = number
-        self._bodies: body_connection.OutgoingBodyConnection | None = None
+        self._body_connection: body_connection.OutgoingBodyConnection | None = None
         self._decoder = frames.FrameDecoder()
         self._transport: asyncio.Transport | None = None
         self.outstanding: dict[int, OutstandingAttempt] = {}
@@ -82,9 +124,9 @@
         self._transport = None
         outstanding, self.outstanding = self.outstanding, {}
         unsent_numbers: set[int] = set()
-        if self._bodies is not None:
-            unsent_numbers = self._bodies.close()
-            self._bodies = None
+        if self._body_connection is not None:
+            unsent_numbers = self._body_connection.close()
+            self._body_connection = None
         self._peer.handle_connection_lost(self)
         for number, attempt in outstanding.items():
             attempt.on_complete(
@@ -96,14 +138,14 @@
         try:
             messages = self._decoder.feed(received)
         except data.DecodeError as error:
-            self._peer.handle_invalid_message(str(error))
+            self.handle_invalid_message(str(error))
             self.abort()
             return
         self.last_received_at = self._peer.loop.time()
         self.probed_at = None
         for message in messages:
             if type(message) is frames.Reply:
-                self._open_bodies_for(message)
+                self._open_body_connection_for(message)
                 self.handle_reply(message)
             else:
                 self._peer.handle_message(message)
@@ -115,7 +157,7 @@
             len(message.body) >= frames.LARGE_BODY_BYTES
             and self._peer.handles_body_connections
         ):
-            self._get_bodies().submit(message)
+            self._get_body_connection().submit(message)
         else:
             self.send(message)
 
@@ -128,7 +170,7 @@
         """Cancels an attempt whose result is no longer needed, if it has none yet."""
         if self.outstanding.pop(number, None) is None:
             return
-        if self._bodies is None or not self._bodies.cancel(number):
+        if self._body_connection is None or not self._body_connection.cancel(number):
             self.send(frames.Cancel(number))
 
     def probe(self, now: float) -> None:
@@ -172,7 +214,7 @@
             reason = data.RefusalReason(reply.reason) if reply.reason else None
         except ValueError:
             # The attempt ends with the connection, its outcome unknown.
-            self._peer.handle_invalid_message(f"outcome {reply.outcome} {reply.reason}")
+            self.handle_invalid_message(f"outcome {reply.outcome} {reply.reason}")
             self.abort()
             return
         self._peer.update_load(reply.load, reply.service_time_us)
@@ -181,8 +223,8 @@
         attempt = self.outstanding.pop(reply.number, None)
         if attempt is None:
             return
-        if self._bodies is not None:
-            self._bodies.forget(reply.number)
+        if self._body_connection is not None:
+            self._body_connection.forget(reply.number)
         if reply.own_time_us:
             self._peer.own_times_s[attempt.route] = reply.own_time_us / 1e6
         attempt.on_complete(
@@ -191,42 +233,46 @@
             )
         )
 
+    def handle_invalid_message(self, why: str) -> None:
+        """Reports a message that cannot be decoded, from either connection."""
+        self._peer.handle_invalid_message(why)
+
     def handle_unconnected(self, messages: list[frames.Submit]) -> None:
         """Sends attempts on this connection because there is no second one."""
-        self._bodies = None
+        self._body_connection = None
         for message in messages:
             self.send(message)
 
-    def handle_bodies_lost(
+    def handle_body_connection_lost(
         self, sent_numbers: set[int], unsent: list[frames.Submit]
     ) -> None:
         """Handles the end of the second connection.
 
         The outcome of what was sent on it is unknown. The rest is sent on a new one.
         """
-        self._bodies = None
+        self._body_connection = None
         for message in unsent:
-            self._get_bodies().submit(message)
+            self._get_body_connection().submit(message)
         for number in sent_numbers:
             attempt = self.outstanding.pop(number, None)
             if attempt is not None:
                 attempt.on_complete(_LOST_RESULT)
 
-    def _get_bodies(self) -> body_connection.OutgoingBodyConnection:
+    def _get_body_connection(self) -> body_connection.OutgoingBodyConnection:
         """Returns the second connection; starts to open it when it is first needed."""
-        if self._bodies is None:
+        if self._body_connection is None:
             peer = self._peer
             hello = frames.BodyHello(peer.hello.boot_id, self._number)
-            self._bodies = body_connection.OutgoingBodyConnection(
+            self._body_connection = body_connection.OutgoingBodyConnection(
                 peer.loop, peer.address, hello, self
             )
-            self._bodies.open()
-        return self._bodies
+            self._body_connection.open()
+        return self._body_connection
 
-    def _open_bodies_for(self, reply: frames.Reply) -> None:
+    def _open_body_connection_for(self, reply: frames.Reply) -> None:
         """Opens the second connection for the large responses that may follow."""
         if (
             len(reply.body) >= frames.LARGE_BODY_BYTES
             and self._peer.handles_body_connections
         ):
-            self._get_bodies()
+            self._get_body_connection()
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 
 from .. import data, sockets
 from ..ingress import body_budget
@@ -16,6 +17,7 @@
 REPORT_ROUND_INTERVAL_S = 0.25
 REPORTS_PER_ROUND = 20
 ROOM_CHECK_INTERVAL_S = 0.02
+MAX_REMEMBERED_RESULTS = 64
 
 
 class IncomingConnection(asyncio.Protocol):
@@ -34,9 +36,12 @@
         self._transport: asyncio.Transport | None = None
         self._executions: dict[int, attempts.Execution] = {}
         self._held_bytes: dict[int, int] = {}
+        self._moved_results: collections.deque[int] = collections.deque(
+            maxlen=MAX_REMEMBERED_RESULTS
+        )
         self._protocol = 0
-        self._link: tuple[str, int] | None = None
-        self._other: IncomingConnection | None = None
+        self._connection_key: tuple[str, int] | None = None
+        self._paired_connection: IncomingConnection | None = None
         self._carries_bodies = False
         self._frame_bytes = 0
         self._frame_started_at = 0.0
@@ -49,6 +54,17 @@
         """Whether the peer has introduced itself and its version has crash reports."""
         return self._protocol >= frames.CRASH_REPORT_VERSION
 
+    @property
+    def is_transferring_body(self) -> bool:
+        """Whether part of a message has arrived or left on the second connection."""
+        second = self._paired_connection
+        if second is None or second._transport is None:
+            return False
+        return bool(
+            second._decoder.pending_frame_bytes
+            or second._transport.get_write_buffer_size()
+        )
+
     @property
     def _is_open(self) -> bool:
         return self._transport is not None and not self._transport.is_closing()
@@ -75,7 +91,9 @@
         """Handles the messages that are complete."""
         try:
             messages = self._decoder.feed(received)
-        except data.DecodeError:
+        except data.DecodeError as error:
+            event = f"sent an invalid message: {error}"
+            self._server.observer.handle_peer_event(self.address, event)
             if self._transport is not None:
                 self._transport.abort()
             return
@@ -115,8 +133,8 @@
         self.service = message.service
         self.needs_every_report = message.protocol < frames.LOAD_REQUEST_VERSION
         if message.connection_number:
-            self._link = (message.boot_id, message.connection_number)
-            self._server.first_connections[self._link] = self
+            self._connection_key = (message.boot_id, message.connection_number)
+            self._server.first_connections[self._connection_key] = self
         self._server.observer.handle_hello(message)
         handover = self._server.observer.build_crash_handover()
         if handover is not None and self.takes_crash_reports:
@@ -125,30 +143,63 @@
     def _handle_body_hello(self, message: frames.BodyHello) -> None:
         """Makes this the second connection of a peer, for messages with large bodies.
 
-        It gets no reports. If the first one is not known, the peer does without.
+        It gets no reports. If the first one is not known, the peer does without. It
+        replaces a former one, which the peer has lost.
         """
-        link = (message.boot_id, message.connection_number)
-        first = self._server.first_connections.get(link)
+        key = (message.boot_id, message.connection_number)
+        first = self._server.first_connections.get(key)
         self._server.remove(self)
-        if first is None or first._other is not None:
+        if first is None:
             self._transport.abort()
             return
+        former = first._paired_connection
+        if former is not None:
+            former._unlink()
+            former._transport.abort()
         self._carries_bodies = True
         self._protocol = first._protocol
-        self._other, first._other = first, self
+        self._paired_connection, first._paired_connection = first, self
         sockets.limit_send_buffer(self._transport, body_connection.SEND_BUFFER_BYTES)
         self.send(message)
 
     def _unlink(self) -> None:
         """Ends the relation to the other connection; the second one ends as well."""
-        if self._link is not None:
-            self._server.first_connections.pop(self._link, None)
-        other, self._other = self._other, None
+        first_connections = self._server.first_connections
+        if (
+            self._connection_key is not None
+            and first_connections.get(self._connection_key) is self
+        ):
+            del first_connections[self._connection_key]
+        other, self._paired_connection = self._paired_connection, None
         if other is not None:
-            other._other = None
-            if other._carries_bodies and other._transport is not None:
+            other._paired_connection = None
+            if self._carries_bodies:
+                other._report_lost_results()
+            elif other._transport is not None:
                 other._transport.abort()
 
+    def _report_lost_results(self) -> None:
+        """Tells the peer that results may be lost with the second connection.
+
+        Without it, the attempts that arrived here would have no result until their
+        deadline. The peer ignores the numbers of those whose results have arrived.
+        """
+        queue = self._server.local_endpoint.queue
+        for number in self._moved_results:
+            self.send(
+                frames.Reply(
+                    number,
+                    int(data.Outcome.UNKNOWN),
+                    data.RefusalReason.NODE_LOST.value,
+                    0,
+                    queue.load,
+                    int(queue.service_time_s * 1e6),
+                    b"",
+                    b"",
+                )
+            )
+        self._moved_results.clear()
+
     def _reserve_frame(self) -> None:
         """Reserves room for the frame that arrives; waits for it if there is none.
 
@@ -181,10 +232,10 @@
 
     def _hold_body(self, number: int, body: bytes) -> None:
         """Counts a body as long as its attempt has no result."""
-        held_bytes, self._frame_bytes = self._frame_bytes, 0
-        if not held_bytes:
-            held_bytes = len(body)
-            self._server.budget.take(held_bytes)
+        reserved_bytes, self._frame_bytes = self._frame_bytes, 0
+        # The reservation may be that of a shorter message before this one.
+        held_bytes = max(reserved_bytes, len(body))
+        self._server.budget.take(held_bytes - reserved_bytes)
         self._held_bytes[number] = held_bytes
 
     def _release_body(self, number: int) -> None:
@@ -199,9 +250,9 @@
     def _choose_connection(self, body: bytes) -> "IncomingConnection":
         """Returns the connection for a result, by the size of its body."""
         is_large = len(body) >= frames.LARGE_BODY_BYTES
-        if self._other is None or is_large == self._carries_bodies:
+        if self._paired_connection is None or is_large == self._carries_bodies:
             return self
-        return self._other
+        return self._paired_connection
 
     def _handle_quota_request(self, message: frames.QuotaRequest) -> None:
         if not self.address or self._protocol < frames.QUOTA_VERSION:
@@ -239,31 +290,39 @@
             message.may_hand_over,
         )
 
-        def send_reply(result: attempts.AttemptResult) -> None:
-            self._executions.pop(number, None)
-            if message.body:
-                self._release_body(number)
-            queue = self._server.local_endpoint.queue
-            own_s = self._server.get_own_s(message.route)
-            self._choose_connection(result.body).send(
-                frames.Reply(
-                    number,
-                    int(result.outcome),
-                    self._get_reason(result),
-                    result.status,
-                    queue.load,
-                    int(queue.service_time_s * 1e6),
-                    result.head,
-                    result.body,
-                    round(queue.utilization * frames.UTILIZATION_SCALE),
-                    int(own_s * 1e6),
-                )
-            )
-
-        execution = self._server.local_endpoint.submit(attempt, send_reply)
+        execution = self._server.local_endpoint.submit(
+            attempt, lambda result: self._send_result(message, result)
+        )
         if execution.on_complete is not None:
             self._executions[number] = execution
 
+    def _send_result(
+        self, message: frames.Submit, result: attempts.AttemptResult
+    ) -> None:
+        """Sends the result of an attempt, on the connection for its size."""
+        number = message.number
+        self._executions.pop(number, None)
+        self._release_body(number)
+        queue = self._server.local_endpoint.queue
+        own_s = self._server.get_own_s(message.route)
+        connection = self._choose_connection(result.body)
+        if connection._carries_bodies and connection is not self:
+            self._moved_results.append(number)
+        connection.send(
+            frames.Reply(
+                number,
+                int(result.outcome),
+                self._get_reason(result),
+                result.status,
+                queue.load,
+                int(queue.service_time_s * 1e6),
+                result.head,
+                result.body,
+                round(queue.utilization * frames.UTILIZATION_SCALE),
+                int(own_s * 1e6),
+            )
+        )
+
     def _send_config(self, request: frames.ConfigRequest) -> None:
         reply = self._server.observer.build_config_reply(request)
         if reply is not None:
@@ -298,6 +357,13 @@
         rounds = -(-len(self._connections) // REPORTS_PER_ROUND)
         return REPORT_ROUND_INTERVAL_S * max(1, rounds)
 
+    @property
+    def is_transferring_body(self) -> bool:
+        """Whether part of a message with a large body has arrived or left."""
+        return any(
+            each.is_transferring_body for each in self.first_connections.values()
+        )
+
     async def listen(self, address: str) -> None:
         """Starts to accept connections at an address."""
         host, _, port = address.rpartition(":")
