config explain follows the nodes' rules for prefixes

Cause: the command compared prefixes by itself: a prefix without a slash at its end matched parts of names, and of two routes with the same prefix it named the first as in force, while nodes apply the last.

Change: it asks the route table of the nodes.

The test has both cases; before, the command named the wrong route.

--- a/packages/catkintiller-operator/src/catkintiller_operator/config_queries.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/config_queries.py
@@ -7,6 +7,8 @@
 from catkintiller import errors
 from catkintiller_platform import adapter
 from catkintiller_relay import data
+from catkintiller_relay.ingress import http_request
+from catkintiller_relay.routing import request_head, route_table
 
 from . import exit_codes, render
 
@@ -110,14 +112,25 @@
 
 
 def find_matching_routes(config: data.Config, host: str, path: str) -> list[data.Route]:
-    """Returns the routes that match a host and a path, the longest prefix first."""
-    host_name = host.lower().partition(":")[0]
-    matches = [
+    """Returns the route in force for a host and a path, then those that it shadows."""
+    in_force = find_route(config, host, path)
+    shadowed = [
         route
         for route in config.routes
-        if route.host == host_name and path.startswith(route.prefix)
+        if route is not in_force
+        and find_route(config._replace(routes=(route,)), host, path) is not None
     ]
-    return sorted(matches, key=lambda route: len(route.prefix), reverse=True)
+    shadowed.sort(key=lambda route: len(route.prefix), reverse=True)
+    return [] if in_force is None else [in_force, *shadowed]
+
+
+def find_route(config: data.Config, host: str, path: str) -> data.Route | None:
+    """Finds the route of a request by the code of the nodes; None if none matches."""
+    headers = [(b"host", host.encode())]
+    request = http_request.Request(b"GET", path.encode(), headers)
+    return route_table.RouteTable(config).find(
+        request_head.parse_host(request), request_head.parse_path(request)
+    )
 
 
 def compute_changes(
