Commands report an invalid config in the store

Cause: the commands that read the config from the store ended with a traceback if the newest one could not be parsed, which nodes ignore with a log line.

Change: the error names the store and the fault; the exit code is that of invalid input.

--- a/packages/catkintiller-operator/src/catkintiller_operator/config_queries.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/config_queries.py
@@ -44,6 +44,7 @@
     :param address: ``IP:PORT`` of the store.
     :returns: the config, ``None`` if the store holds none.
     :raises errors.LogUnavailable: if the store does not return a valid response.
+    :raises data.DecodeError: if the newest config is not valid; nodes ignore it.
     """
 
     async def read_record() -> data.StoreRecord | None:
@@ -56,9 +57,12 @@
         record = asyncio.run(read_record())
     except data.StoreError as error:
         raise errors.LogUnavailable(f"{address}: {error}") from error
-    return (
-        None if record is None else adapter.PlatformAdapter().parse_config(record.value)
-    )
+    if record is None:
+        return None
+    try:
+        return adapter.PlatformAdapter().parse_config(record.value)
+    except data.DecodeError as error:
+        raise data.DecodeError(f"config in the store {address}: {error}") from error
 
 
 def show_config(address: str, as_json: bool) -> int:
--- a/packages/catkintiller-operator/src/catkintiller_operator/exit_codes.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/exit_codes.py
@@ -5,6 +5,7 @@
 from typing import NoReturn
 
 from catkintiller import errors, validation
+from catkintiller_relay import data
 
 OK = 0
 FAULT_FOUND = 1  # also if no config, route, metric or log line is found
@@ -29,6 +30,9 @@
     except errors.NodeUnreachable as error:
         print(f"node unreachable: {error}", file=sys.stderr)
         exit_code = NODE_UNREACHABLE
+    except data.DecodeError as error:
+        print(error, file=sys.stderr)
+        exit_code = INVALID_INPUT
     except OSError as error:
         print(f"{error.filename}: {error.strerror}", file=sys.stderr)
         exit_code = INVALID_INPUT
