--- a/packages/catkintiller-operator/src/catkintiller_operator/config_queries.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/config_queries.py
@@ -22,6 +22,7 @@
     "target ms",
     "attempts",
     "rank",
+    "public",
 ]
 
 
@@ -173,4 +174,5 @@
         round(route.target_latency_s * 1000),
         route.max_attempts,
         route.rank,
+        route.public,
     ]
