config check tells all differences and whom they affect

Cause: limits and services were not compared, a change of a route was not described, the beginning or end of authentication was not mentioned, a change of a customer could have an empty description, and an invalid config in the store ended the check with a traceback.

Change: the comparison is a module of its own and describes each of these; a config without customers after one with customers is a warning. The message on standard error no longer says that nodes would apply a config that the warnings call ignored.

--- a/packages/catkintiller-operator/src/catkintiller_operator/config_check.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/config_check.py
@@ -6,29 +6,19 @@
 
 import collections
 import sys
-from typing import NamedTuple
 
 from catkintiller_platform import adapter
 from catkintiller_relay import data
 
-from . import config_queries, customer_queries, exit_codes, render
+from . import (
+    config_comparison,
+    config_queries,
+    exit_codes,
+    findings,
+    render,
+)
 
 COLUMNS = ["kind", "where", "what"]
-ERROR = "error"
-WARNING = "warning"
-CHANGE = "change"
-
-
-class Finding(NamedTuple):
-    """Result of the check.
-
-    :param kind: :data:`ERROR`, :data:`WARNING` or :data:`CHANGE`.
-    :param where: entry of the config.
-    """
-
-    kind: str
-    where: str
-    what: str
 
 
 def check_config(store: str, file: str, as_json: bool) -> int:
@@ -42,45 +32,61 @@
     try:
         config = adapter.PlatformAdapter().parse_config(content)
     except data.DecodeError as error:
-        findings = [Finding(ERROR, file, str(error))]
+        found = [findings.Finding(findings.ERROR, file, str(error))]
     else:
-        findings = find_warnings(config)
+        found = find_warnings(config)
         if store:
-            findings += compare_configs(config_queries.read_config(store), config)
-    render.print_rows(COLUMNS, [list(each) for each in findings], as_json)
-    kinds = {each.kind for each in findings}
-    if ERROR in kinds:
+            found += find_warnings_in_store(store, config)
+    render.print_rows(COLUMNS, [list(each) for each in found], as_json)
+    kinds = {each.kind for each in found}
+    if findings.ERROR in kinds:
         return exit_codes.INVALID_INPUT
-    if WARNING in kinds:
-        print("the nodes would apply it, but see the warnings", file=sys.stderr)
+    if findings.WARNING in kinds:
+        print("the config is valid, but see the warnings", file=sys.stderr)
         return exit_codes.FAULT_FOUND
     return exit_codes.OK
 
 
-def find_warnings(config: data.Config) -> list[Finding]:
+def find_warnings_in_store(store: str, config: data.Config) -> list[findings.Finding]:
+    """Compares a config with what the store tells about the deployment.
+
+    :param store: ``IP:PORT`` of the store.
+    """
+    found = []
+    try:
+        before = config_queries.read_config(store)
+    except data.DecodeError as error:
+        what = f"not compared: {error}"
+        return [*found, findings.Finding(findings.WARNING, "store", what)]
+    return found + config_comparison.compare_configs(before, config)
+
+
+def find_warnings(config: data.Config) -> list[findings.Finding]:
     """Finds entries that have no effect, and limits that contradict each other."""
-    findings = []
+    found = []
     counts = collections.Counter((each.host, each.prefix) for each in config.routes)
     for route in config.routes:
-        findings += [
-            Finding(WARNING, f"route {route.name}", what)
+        found += [
+            findings.Finding(findings.WARNING, f"route {route.name}", what)
             for what in _check_route(route, counts[route.host, route.prefix])
         ]
     used = {each.service for route in config.routes for each in route.destinations}
     for service in config.services:
         if service not in used:
-            findings.append(Finding(WARNING, f"service {service}", "no route uses it"))
+            where = f"service {service}"
+            found.append(findings.Finding(findings.WARNING, where, "no route uses it"))
     for customer in config.customers:
         where = f"customer {customer.name}"
         if not customer.key_digests:
-            findings.append(Finding(WARNING, where, "it has no key"))
+            found.append(findings.Finding(findings.WARNING, where, "it has no key"))
         if customer.burst and not customer.rate_per_s:
-            findings.append(Finding(WARNING, where, "its burst has no effect: no rate"))
+            what = "its burst has no effect: no rate"
+            found.append(findings.Finding(findings.WARNING, where, what))
     limits = config.limits
     if limits.header_timeout_s > limits.idle_timeout_s:
         what = "the header timeout is longer than the idle timeout"
-        findings.append(Finding(WARNING, "limits", what))
-    return findings
+        found.append(findings.Finding(findings.WARNING, "limits", what))
+    return found
 
 
 def _check_route(route: data.Route, same_count: int) -> list[str]:
@@ -96,42 +102,3 @@
     if route.target_latency_s > route.timeout_s:
         problems.append("its target latency is longer than its timeout")
     return problems
-
-
-def compare_configs(before: data.Config | None, after: data.Config) -> list[Finding]:
-    """Compares a config with the version in force."""
-    findings = []
-    if before is not None and after.version <= before.version:
-        what = f"nodes ignore it: version {before.version} is in force"
-        findings.append(Finding(WARNING, f"version {after.version}", what))
-    for change in config_queries.compute_changes(before, after):
-        what = _describe_change(change.before, change.after)
-        findings.append(Finding(CHANGE, f"route {''.join(change.key)}", what))
-    old = {} if before is None else {each.name: each for each in before.customers}
-    new = {each.name: each for each in after.customers}
-    for name in sorted(old.keys() | new.keys()):
-        if old.get(name) != new.get(name):
-            what = _describe_customer_change(old.get(name), new.get(name))
-            findings.append(Finding(CHANGE, f"customer {name}", what))
-    return findings
-
-
-def _describe_change(before: object, after: object) -> str:
-    if before is None:
-        return "added"
-    return "removed" if after is None else "changed"
-
-
-def _describe_customer_change(
-    before: data.Customer | None, after: data.Customer | None
-) -> str:
-    """Describes a change; keys appear as digits of their digests."""
-    if before is None or after is None:
-        return _describe_change(before, after)
-    columns = customer_queries.CUSTOMER_COLUMNS
-    rows = customer_queries.build_row(before), customer_queries.build_row(after)
-    return ", ".join(
-        f"{column}: {old} -> {new}"
-        for column, old, new in zip(columns, *rows, strict=True)
-        if old != new
-    )
