--- a/packages/catkintiller-operator/src/catkintiller_operator/config_queries.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/config_queries.py
@@ -118,22 +118,23 @@
 
 def find_matching_routes(config: data.Config, host: str, path: str) -> list[data.Route]:
     """Returns the route in force for a host and a path, then those that it shadows."""
-    in_force = find_route(config, host, path)
-    shadowed = [
-        route
-        for route in config.routes
-        if route is not in_force
-        and find_route(config._replace(routes=(route,)), host, path) is not None
-    ]
+    in_force = find_route(route_table.RouteTable(config), host, path)
+    shadowed = []
+    for route in config.routes:
+        table = route_table.RouteTable(config._replace(routes=(route,)))
+        if route is not in_force and find_route(table, host, path) is not None:
+            shadowed.append(route)
     shadowed.sort(key=lambda route: len(route.prefix), reverse=True)
     return [] if in_force is None else [in_force, *shadowed]
 
 
-def find_route(config: data.Config, host: str, path: str) -> data.Route | None:
-    """Finds the route of a request by the code of the nodes; None if none matches."""
+def find_route(
+    table: route_table.RouteTable, host: str, path: str
+) -> data.Route | None:
+    """Finds the route of a request as nodes do; None if none matches."""
     headers = [(b"host", host.encode())]
     request = http_request.Request(b"GET", path.encode(), headers)
-    return route_table.RouteTable(config).find(
+    return table.find(
         request_head.parse_host(request), request_head.parse_path(request)
     )
 
