config check compares the routes with the nodes and calls in the store

Cause: a service without endpoints, more attempts than endpoints, and a nested call with a longer timeout than its caller were not reported.

Change: the check reads the node records, which tell the services of the nodes and the edges of the call graph.

--- a/packages/catkintiller-operator/src/catkintiller_operator/config_check.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/config_check.py
@@ -13,6 +13,7 @@
     config_comparison,
     config_queries,
     config_warnings,
+    deployment_queries,
     exit_codes,
     findings,
     render,
@@ -52,7 +53,8 @@
 
     :param store: ``IP:PORT`` of the store.
     """
-    found = []
+    deployment = deployment_queries.read_deployment(store)
+    found = config_warnings.find_deployment_warnings(config, deployment)
     try:
         before = config_queries.read_config(store)
     except data.DecodeError as error:
--- a/packages/catkintiller-operator/src/catkintiller_operator/config_warnings.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/config_warnings.py
@@ -10,7 +10,7 @@
 from catkintiller_relay.customers import credentials
 from catkintiller_relay.routing import head_checker, route_table
 
-from . import config_queries, findings
+from . import config_queries, deployment_queries, findings
 
 
 def find_warnings(config: data.Config) -> list[findings.Finding]:
@@ -43,6 +43,35 @@
     return found
 
 
+def find_deployment_warnings(
+    config: data.Config, deployment: deployment_queries.Deployment
+) -> list[findings.Finding]:
+    """Finds where a config contradicts the nodes and calls that the store tells of."""
+    found = []
+    for route in config.routes:
+        where = f"route {route.name}"
+        for destination in route.destinations:
+            if destination.weight <= 0:
+                continue
+            count = deployment.node_counts.get(destination.service, 0)
+            if not count:
+                what = f"service {destination.service} has no endpoint"
+                found.append(_build_warning(where, what))
+            elif route.max_attempts > count:
+                what = (
+                    f"{route.max_attempts} attempts, number of endpoints of "
+                    f"{destination.service}: {count}"
+                )
+                found.append(_build_warning(where, what))
+    routes = {route.name: route for route in config.routes}
+    for edge in deployment.edges:
+        caller, callee = routes.get(edge.route), routes.get(edge.callee)
+        if caller and callee and callee.timeout_s > caller.timeout_s:
+            what = f"its timeout is longer than that of its caller, route {caller.name}"
+            found.append(_build_warning(f"route {callee.name}", what))
+    return found
+
+
 def _build_warning(where: str, what: str) -> findings.Finding:
     return findings.Finding(findings.WARNING, where, what)
 
