trace leaves out other requests, and invalid log files do not end it

Cause: a request whose ID only begins like the one asked for was shown with it; a line with an invalid time and a file with bytes that are no UTF-8 ended the command with a traceback.

Change: a nested call extends the ID after a dot. Such lines are reported like others that cannot be parsed. Without a line, the cause names the responses that write none.

The tests have such lines; before, three of them failed.

--- a/packages/catkintiller-operator/src/catkintiller_operator/request_trace.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/request_trace.py
@@ -72,7 +72,7 @@
 ) -> tuple[list[Event], list[UnreadableLine]]:
     """Parses the log lines of a request and of its nested calls.
 
-    :param identity: ID of the request; the IDs of its nested calls begin with it.
+    :param identity: ID of the request; its nested calls extend it after a dot.
     :returns: the events, and the lines that contain the ID but cannot be parsed.
     """
     events: list[Event] = []
@@ -85,11 +85,20 @@
         except ValueError as error:
             unreadable.append(UnreadableLine(file, number, str(error)))
             continue
-        if str(entry.get("id", "")).startswith(identity):
+        if not is_part_of(str(entry.get("id", "")), identity):
+            continue
+        try:
             events.append(build_event(entry))
+        except (TypeError, ValueError) as error:
+            unreadable.append(UnreadableLine(file, number, str(error)))
     return events, unreadable
 
 
+def is_part_of(found: str, identity: str) -> bool:
+    """Returns whether an ID is that of a request or of one of its nested calls."""
+    return found == identity or found.startswith(f"{identity}.")
+
+
 def build_event(entry: dict[str, object]) -> Event:
     """Builds an event from a parsed log line."""
     fields = {k: v for k, v in entry.items() if k not in _KEYS_OUTSIDE_DETAILS}
@@ -106,7 +115,10 @@
 def describe_cause(events: list[Event]) -> str:
     """Describes the outcome of a request and its cause, from its last events."""
     if not events:
-        return "no line found: it did not arrive, or its lines exceeded a log limit"
+        return (
+            "no line found: it did not arrive, was answered with 400, 401 or 404, "
+            "or its lines exceeded a log limit"
+        )
     last = events[-1].fields
     reason = str(last.get("reason") or "")
     if reason:
@@ -161,7 +173,7 @@
     unreadable: list[UnreadableLine] = []
     for file in files:
         try:
-            with open(file, encoding="utf-8") as stream:
+            with open(file, encoding="utf-8", errors="replace") as stream:
                 file_events, file_unreadable = parse_events(stream, file, identity)
         except OSError as error:
             unreadable.append(UnreadableLine(file, 0, str(error)))
--- a/packages/catkintiller-operator/src/catkintiller_operator/request_trace_test.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/request_trace_test.py
@@ -27,6 +27,19 @@
         assert [event.time for event in events] == [2.0, 1.0, 1.5]
         assert [line.number for line in unreadable] == [5]
 
+    def test_requests_whose_id_only_begins_alike_are_left_out(self) -> None:
+        """Guards against the lines and the count of another request in a trace."""
+        lines = '{"t":1,"id":"aa112"}\n{"t":2,"id":"aa11.b"}\n{"t":3,"id":"aa11"}\n'
+        events, _ = request_trace.parse_events(io.StringIO(lines), "log", "aa11")
+        assert [event.time for event in events] == [2.0, 3.0]
+
+    def test_line_with_an_invalid_time_is_reported(self) -> None:
+        lines = '{"t":"x","id":"aa11"}\n{"t":null,"id":"aa11"}\n'
+        events, unreadable = request_trace.parse_events(
+            io.StringIO(lines), "log", "aa11"
+        )
+        assert (events, [line.number for line in unreadable]) == ([], [1, 2])
+
 
 class TestCause:
     """Description of the cause."""
@@ -108,3 +121,10 @@
             == exit_codes.FAULT_FOUND
         )
         assert "missing" in capsys.readouterr().err
+
+    def test_bytes_that_are_no_text_do_not_end_the_command(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        file = tmp_path / "log"
+        file.write_bytes(b"\xff\n" + LINES.encode())
+        assert request_trace.trace_request("aa11", [str(file)], False) == exit_codes.OK
