customers: impossible arguments and unreachable nodes are reported

Cause: an interval of 0 or less ended both commands with a traceback, customers refused without a node gave an empty "node unreachable", and a node that did not respond was left out silently, so that a command could say that nobody is refused while that node refuses.

Change: such arguments are invalid input, nodes that are left out are named on standard error, and none responding both times is "node unreachable".

The tests have each case; before, six of them failed.

--- a/packages/catkintiller-operator/src/catkintiller_operator/customer_queries.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/customer_queries.py
@@ -1,5 +1,7 @@
 """Queries the customers in force, and what becomes of their requests at the nodes."""
 
+import math
+import sys
 import time
 from collections.abc import Iterable
 from typing import TypedDict
@@ -50,6 +52,15 @@
     nodes: int
 
 
+def find_argument_problem(addresses: list[str], interval_s: float) -> str:
+    """Describes why counts cannot be measured; empty if they can."""
+    if not addresses:
+        return "no node is given"
+    if not 0 < interval_s < math.inf:
+        return f"--interval is {interval_s:g}, must be above 0"
+    return ""
+
+
 def show_customers(
     store: str, addresses: list[str], interval_s: float, as_json: bool
 ) -> int:
@@ -61,6 +72,10 @@
     :param addresses: ``IP:PORT`` of the metrics of the nodes whose counts are summed.
     :param interval_s: time over which the use is measured, in seconds.
     """
+    problem = find_argument_problem(addresses, interval_s)
+    if addresses and problem:
+        print(problem, file=sys.stderr)
+        return exit_codes.INVALID_INPUT
     config = config_queries.read_config(store)
     customers = () if config is None else config.customers
     rows = [build_row(customer) for customer in customers]
@@ -83,6 +98,10 @@
     :param name: the only customer to be printed; empty for all.
     :param interval_s: time over which refusals are counted, in seconds.
     """
+    problem = find_argument_problem(addresses, interval_s)
+    if problem:
+        print(problem, file=sys.stderr)
+        return exit_codes.INVALID_INPUT
     increases = measure_increases(addresses, interval_s)
     rows = []
     for (customer, reason), refusals in sum_refusals(increases, interval_s).items():
@@ -125,11 +144,18 @@
 def measure_increases(addresses: list[str], interval_s: float) -> dict[str, Counts]:
     """Measures by how much the counts of each node increase within a time.
 
-    Nodes that do not respond both times are left out.
+    Nodes that do not respond both times are left out and named on standard error.
+
+    :raises errors.NodeUnreachable: if no node responds both times.
     """
     before = fetch_documents(addresses)
     time.sleep(interval_s)
     after = fetch_documents(addresses)
+    left_out = [each for each in addresses if not (each in before and each in after)]
+    if len(left_out) == len(addresses):
+        raise errors.NodeUnreachable(", ".join(left_out))
+    for address in left_out:
+        print(f"{address}: left out, since it does not respond", file=sys.stderr)
     return {
         address: compute_increase(before[address]["customers"], document["customers"])
         for address, document in after.items()
--- a/packages/catkintiller-operator/src/catkintiller_operator/customer_queries_test.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/customer_queries_test.py
@@ -1,9 +1,12 @@
 """Tests of what operators see of customers."""
 
+import math
+
+import pytest
 from catkintiller_relay import data
 from catkintiller_relay.customers import credentials
 
-from . import customer_queries
+from . import customer_queries, exit_codes
 
 
 class TestRow:
@@ -37,6 +40,37 @@
         }
 
 
+class TestCommands:
+    """Arguments of the commands, and nodes that do not respond."""
+
+    @pytest.mark.parametrize("interval_s", [0.0, -1.0, math.nan, math.inf])
+    def test_impossible_interval(self, interval_s: float) -> None:
+        """Guards against a traceback."""
+        nodes = ["127.0.0.1:1"]
+        refusals = customer_queries.show_refusals(nodes, "", interval_s, True)
+        customers = customer_queries.show_customers("", nodes, interval_s, True)
+        assert refusals == customers == exit_codes.INVALID_INPUT
+
+    def test_refusals_need_a_node(self) -> None:
+        refusals = customer_queries.show_refusals([], "", 1.0, True)
+        assert refusals == exit_codes.INVALID_INPUT
+
+    def test_node_that_does_not_respond_is_named(
+        self, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        """Guards against an "all is well" that leaves out a node that refuses."""
+        document = {"customers": {}, "shares": {}}
+        monkeypatch.setattr(
+            customer_queries.node_client,
+            "get_json_from_all",
+            lambda addresses, path: [
+                document if address == "a:1" else None for address in addresses
+            ],
+        )
+        customer_queries.show_refusals(["a:1", "b:1"], "", 0.001, True)
+        assert "b:1: left out" in capsys.readouterr().err
+
+
 class TestRefusals:
     """Refusals of all nodes."""
 
