catkintiller endpoints shows the endpoints of a service side by side

Change: the command reads the metrics of the nodes that are named, and prints the fullest endpoint first. trace names all statuses of rejections that write no line.

--- a/packages/catkintiller-operator/src/catkintiller_operator/main.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/main.py
@@ -14,6 +14,7 @@
     config_check,
     config_queries,
     customer_queries,
+    endpoint_queries,
     exit_codes,
     metrics,
     node_commands,
@@ -277,6 +278,18 @@
     )
 
 
+def endpoints(*nodes: str, service: str = "", json: bool = False) -> None:
+    """Show the endpoints beside some nodes side by side, the fullest first.
+
+    :param nodes: addresses of the nodes' metrics, as IP:PORT.
+    :param service: show the endpoints of this service only.
+    :param json: print JSON.
+    """
+    exit_codes.run_and_exit(
+        lambda: endpoint_queries.show_endpoints(list(nodes), service, json)
+    )
+
+
 def main() -> None:
     """Runs the command that the arguments name."""
     settings_subcommands = {
@@ -298,6 +311,7 @@
                 "check": config_check_file,
             },
             "customers": {"show": customers_show, "refused": customers_refused},
+            "endpoints": endpoints,
             "figures": show_node_metrics,
             "status": status,
             "watch": watch,
--- a/packages/catkintiller-operator/src/catkintiller_operator/metrics.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/metrics.py
@@ -41,6 +41,24 @@
     return exit_codes.OK if rows else exit_codes.FAULT_FOUND
 
 
+def fetch_all_samples(addresses: list[str]) -> list[list[Sample] | None]:
+    """Fetches the metrics of each node, ``None`` for nodes that do not respond.
+
+    :param addresses: ``IP:PORT/PATH`` of the nodes' metrics.
+    """
+
+    async def fetch(address: str) -> list[Sample] | None:
+        try:
+            return parse_metrics(await _fetch_text(address))
+        except errors.NodeUnreachable:
+            return None
+
+    async def fetch_all() -> list[list[Sample] | None]:
+        return await asyncio.gather(*(fetch(address) for address in addresses))
+
+    return asyncio.run(fetch_all())
+
+
 def parse_metrics(text: str) -> list[Sample]:
     """Parses metrics in the text format of Prometheus.
 
--- a/packages/catkintiller-operator/src/catkintiller_operator/request_trace.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/request_trace.py
@@ -116,7 +116,7 @@
     """Describes the outcome of a request and its cause, from its last events."""
     if not events:
         return (
-            "no line found: it did not arrive, was answered with 400, 401 or 404, "
+            "no line found: it did not arrive, was rejected (400, 401, 404, 408, 413, 431), "
             "or its lines exceeded a log limit"
         )
     last = events[-1].fields
