--- a/packages/catkintiller-operator/src/catkintiller_operator/request_trace.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/request_trace.py
@@ -116,8 +116,8 @@
     """Describes the outcome of a request and its cause, from its last events."""
     if not events:
         return (
-            "no line found: it did not arrive, was rejected (400, 401, 404, 408, 413, 431), "
-            "or its lines exceeded a log limit"
+            "no line found: it did not arrive, was rejected "
+            "(400, 401, 404, 408, 413, 431), or its lines exceeded a log limit"
         )
     last = events[-1].fields
     reason = str(last.get("reason") or "")
--- a/packages/catkintiller-standins/src/catkintiller_standins/even_load/even_load_test.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/even_load/even_load_test.py
@@ -19,20 +19,20 @@
 class TestEvenLoad:
     """Four endpoints, one in each zone, that differ threefold in speed."""
 
-    @pytest.mark.parametrize("load", ["fresh", "old", "older", "slow", "crash"])
+    @pytest.mark.parametrize("load", ["recent", "old", "older", "slow", "crash"])
     def test_no_request_waits_beside_free_slots(self, load: str) -> None:
         """Nodes that know loads late overload one endpoint while others are idle."""
-        figures = run(load, "handover")
+        handed_over = run(load, "handover")
         queue = run(load, "queue")
-        assert figures.uneven < MAX_UNEVEN_RATIO
-        assert figures.p99_s <= MAX_P99_RATIO * queue.p99_s
-        assert figures.crossing < 0.4
+        assert handed_over.uneven < MAX_UNEVEN_RATIO
+        assert handed_over.p99_s <= MAX_P99_RATIO * queue.p99_s
+        assert handed_over.crossing < 0.4
 
     def test_lost_reports_are_no_worse_than_random_selection(self) -> None:
         """Loads that are no longer reported are not taken for the present ones."""
-        figures, at_random = run("lost", "handover"), run("lost", "random")
-        assert figures.in_time >= at_random.in_time
-        assert figures.uneven <= at_random.uneven
+        handed_over, at_random = run("lost", "handover"), run("lost", "random")
+        assert handed_over.in_time >= at_random.in_time
+        assert handed_over.uneven <= at_random.uneven
 
     def test_requests_are_not_handed_on_in_overload(self) -> None:
         """Full endpoints would hand all requests to each other."""
--- a/packages/catkintiller-standins/src/catkintiller_standins/even_load/figures.py
+++ b/packages/catkintiller-standins/src/catkintiller_standins/even_load/figures.py
@@ -12,7 +12,7 @@
 from . import simulation
 
 LOADS = {
-    "fresh": simulation.Load(0.7, report_interval_s=0.01),
+    "recent": simulation.Load(0.7, report_interval_s=0.01),
     "old": simulation.Load(0.7),
     "older": simulation.Load(0.7, replies_carry_load=False),
     "busy": simulation.Load(0.9),
@@ -25,45 +25,45 @@
 
 
 def select_random(
-    simulation: simulation.Simulation,
+    simulated: simulation.Simulation,
     request: simulation.Request,
     now: float,
 ) -> tuple[int, bool]:
     """Selects any endpoint."""
-    return simulation.choice_rng.choice(simulation.get_up(request)), False
+    return simulated.choice_rng.choice(simulated.get_up(request)), False
 
 
 def select_of_two(
-    simulation: simulation.Simulation,
+    simulated: simulation.Simulation,
     request: simulation.Request,
     now: float,
 ) -> tuple[int, bool]:
     """Selects the less loaded one of two random endpoints."""
-    up = simulation.get_up(request)
-    views = simulation.views[request.node]
-    sample = simulation.choice_rng.sample(up, min(2, len(up)))
+    up = simulated.get_up(request)
+    views = simulated.views[request.node]
+    sample = simulated.choice_rng.sample(up, min(2, len(up)))
     return min(sample, key=lambda i: views[i].load + views[i].sent), False
 
 
 def select_as_node(
-    simulation: simulation.Simulation,
+    simulated: simulation.Simulation,
     request: simulation.Request,
     now: float,
 ) -> tuple[int, bool]:
     """Selects as the nodes do."""
-    candidates = simulation.get_candidates(request, now)
-    rng = simulation.choice_rng
+    candidates = simulated.get_candidates(request, now)
+    rng = simulated.choice_rng
     return int(endpoint_selection.select_endpoint(candidates, rng).node), False
 
 
 def select_and_hand_over(
-    simulation: simulation.Simulation,
+    simulated: simulation.Simulation,
     request: simulation.Request,
     now: float,
 ) -> tuple[int, bool]:
     """Selects as the nodes do; full endpoints hand requests back."""
-    candidates = simulation.get_candidates(request, now)
-    rng = simulation.choice_rng
+    candidates = simulated.get_candidates(request, now)
+    rng = simulated.choice_rng
     selected = endpoint_selection.select_endpoint(candidates, rng)
     may_hand_over = endpoint_selection.has_alternative(candidates, selected)
     if len(request.sent_to) >= handover.MAX_HANDOVER_COUNT:
