trace does not name an outcome that no line tells

Cause: lines of answers are limited to 5 a second. If the last line of a request was that of an attempt that was handed over or sent again, its reason was given as the cause of the request's outcome; a last line without status or reason gave "the request was answered".

Change: the cause says that another attempt was made, or that no line tells the outcome.

The test has both cases; before, both failed.

--- a/packages/catkintiller-operator/src/catkintiller_operator/request_trace.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/request_trace.py
@@ -125,10 +125,14 @@
         cause = CAUSE_BY_REASON.get(reason, reason) + describe_quota(last)
         if reason == "share_exceeded":
             cause += describe_share(last)
+        if last.get("next", "no_attempts") not in NO_RETRY_CAUSE:
+            return f"{cause}; another attempt was made, and no line tells its outcome"
         no_retry = describe_missing_retry(events)
         return f"{cause}; no retry: {no_retry}" if no_retry else cause
     status = last.get("status")
-    if isinstance(status, int) and status >= 500:
+    if not isinstance(status, int):
+        return "no line tells its outcome"
+    if status >= 500:
         return f"the endpoint itself responded with status {status}"
     return "the request was answered"
 
--- a/packages/catkintiller-operator/src/catkintiller_operator/request_trace_test.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/request_trace_test.py
@@ -95,6 +95,23 @@
         fields["sums_age_ms"] = None
         assert "the node alone" in request_trace.describe_cause([event])
 
+    @pytest.mark.parametrize(
+        ("fields", "description"),
+        [
+            (
+                {"reason": "endpoint_full", "next": "handed_over"},
+                "another attempt was made",
+            ),
+            ({"at": "10.0.0.1:1"}, "no line tells its outcome"),
+        ],
+    )
+    def test_missing_line_of_the_outcome_is_told(
+        self, fields: dict[str, object], description: str
+    ) -> None:
+        """Guards against a cause or an answer that no line tells of."""
+        event = request_trace.Event(1.0, "a", "attempt: x", fields)
+        assert description in request_trace.describe_cause([event])
+
     def test_no_line(self) -> None:
         assert "no line" in request_trace.describe_cause([])
 
