Commands report an invalid address of the store

Cause: an address without a port, or with an impossible one, ended the commands with a traceback, whose exit code 1 means that a fault was found.

Change: reads from the store stand in one module, which checks the address.

--- a/packages/catkintiller-operator/src/catkintiller_operator/config_queries.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/config_queries.py
@@ -1,16 +1,14 @@
 """Queries the config in the platform's store."""
 
-import asyncio
 import sys
 from typing import NamedTuple
 
-from catkintiller import errors
 from catkintiller_platform import adapter
 from catkintiller_relay import data
 from catkintiller_relay.ingress import http_request
 from catkintiller_relay.routing import request_head, route_table
 
-from . import exit_codes, render
+from . import exit_codes, render, store_client
 
 ROUTE_COLUMNS = [
     "route",
@@ -45,19 +43,10 @@
     :param address: ``IP:PORT`` of the store.
     :returns: the config, ``None`` if the store holds none.
     :raises errors.LogUnavailable: if the store does not return a valid response.
-    :raises data.DecodeError: if the newest config is not valid; nodes ignore it.
+    :raises data.DecodeError: if the address is not valid, or the newest config, which
+        nodes then ignore.
     """
-
-    async def read_record() -> data.StoreRecord | None:
-        loop = asyncio.get_running_loop()
-        platform = adapter.PlatformAdapter()
-        store = platform.create_store(data.StoreSettings(address), loop)
-        return await store.read_config()
-
-    try:
-        record = asyncio.run(read_record())
-    except data.StoreError as error:
-        raise errors.LogUnavailable(f"{address}: {error}") from error
+    record = store_client.read_store(address, lambda store: store.read_config())
     if record is None:
         return None
     try:
--- a/packages/catkintiller-operator/src/catkintiller_operator/deployment_queries.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/deployment_queries.py
@@ -1,17 +1,16 @@
 """Queries what the node records in the platform's store tell about a deployment."""
 
-import asyncio
 import collections
 from collections.abc import Mapping
 from typing import NamedTuple
 
 import msgspec
-from catkintiller import errors
-from catkintiller_platform import adapter
 from catkintiller_relay import data
 from catkintiller_relay.membership import store_watcher
 from catkintiller_relay.routing import call_graph
 
+from . import store_client
+
 
 class Deployment(NamedTuple):
     """Nodes of a deployment and the calls that they have counted.
@@ -30,18 +29,11 @@
 
     :param address: ``IP:PORT`` of the store.
     :raises errors.LogUnavailable: if the store does not return a valid response.
+    :raises data.DecodeError: if the address is not valid.
     """
-
-    async def read_records() -> list[data.StoreRecord]:
-        loop = asyncio.get_running_loop()
-        platform = adapter.PlatformAdapter()
-        store = platform.create_store(data.StoreSettings(address), loop)
-        return await store.read_node_records()
-
-    try:
-        stored_records = asyncio.run(read_records())
-    except data.StoreError as error:
-        raise errors.LogUnavailable(f"{address}: {error}") from error
+    stored_records = store_client.read_store(
+        address, lambda store: store.read_node_records()
+    )
     return build_deployment(stored_records)
 
 
