--- a/packages/catkintiller-operator/src/catkintiller_operator/config_check.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/config_check.py
@@ -37,7 +37,7 @@
     else:
         found = config_warnings.find_warnings(config)
         if store:
-            found += find_warnings_in_store(store, config)
+            found += compare_with_store(store, config)
     render.print_rows(COLUMNS, [list(each) for each in found], as_json)
     kinds = {each.kind for each in found}
     if findings.ERROR in kinds:
@@ -48,7 +48,7 @@
     return exit_codes.OK
 
 
-def find_warnings_in_store(store: str, config: data.Config) -> list[findings.Finding]:
+def compare_with_store(store: str, config: data.Config) -> list[findings.Finding]:
     """Compares a config with what the store tells about the deployment.
 
     :param store: ``IP:PORT`` of the store.
