--- a/packages/catkintiller-operator/src/catkintiller_operator/config_queries.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/config_queries.py
@@ -1,14 +1,14 @@
 """Queries the config in the platform's store."""
 
-import asyncio
 import sys
 from typing import NamedTuple
 
-from catkintiller import errors
 from catkintiller_platform import adapter
 from catkintiller_relay import data
+from catkintiller_relay.ingress import http_request
+from catkintiller_relay.routing import request_head, route_table
 
-from . import exit_codes, render
+from . import exit_codes, render, store_client
 
 ROUTE_COLUMNS = [
     "route",
@@ -20,6 +20,7 @@
     "target ms",
     "attempts",
     "rank",
+    "public",
 ]
 
 
@@ -42,21 +43,16 @@
     :param address: ``IP:PORT`` of the store.
     :returns: the config, ``None`` if the store holds none.
     :raises errors.LogUnavailable: if the store does not return a valid response.
+    :raises data.DecodeError: if the address is not valid, or the newest config, which
+        nodes then ignore.
     """
-
-    async def read_record() -> data.StoreRecord | None:
-        loop = asyncio.get_running_loop()
-        platform = adapter.PlatformAdapter()
-        store = platform.create_store(data.StoreSettings(address), loop)
-        return await store.read_config()
-
+    record = store_client.read_store(address, lambda store: store.read_config())
+    if record is None:
+        return None
     try:
-        record = asyncio.run(read_record())
-    except data.StoreError as error:
-        raise errors.LogUnavailable(f"{address}: {error}") from error
-    return (
-        None if record is None else adapter.PlatformAdapter().parse_config(record.value)
-    )
+        return adapter.PlatformAdapter().parse_config(record.value)
+    except data.DecodeError as error:
+        raise data.DecodeError(f"config in the store {address}: {error}") from error
 
 
 def show_config(address: str, as_json: bool) -> int:
@@ -110,14 +106,26 @@
 
 
 def find_matching_routes(config: data.Config, host: str, path: str) -> list[data.Route]:
-    """Returns the routes that match a host and a path, the longest prefix first."""
-    host_name = host.lower().partition(":")[0]
-    matches = [
-        route
-        for route in config.routes
-        if route.host == host_name and path.startswith(route.prefix)
-    ]
-    return sorted(matches, key=lambda route: len(route.prefix), reverse=True)
+    """Returns the route in force for a host and a path, then those that it shadows."""
+    in_force = find_route(route_table.RouteTable(config), host, path)
+    shadowed = []
+    for route in config.routes:
+        table = route_table.RouteTable(config._replace(routes=(route,)))
+        if route is not in_force and find_route(table, host, path) is not None:
+            shadowed.append(route)
+    shadowed.sort(key=lambda route: len(route.prefix), reverse=True)
+    return [] if in_force is None else [in_force, *shadowed]
+
+
+def find_route(
+    table: route_table.RouteTable, host: str, path: str
+) -> data.Route | None:
+    """Finds the route of a request as nodes do; None if none matches."""
+    headers = [(b"host", host.encode())]
+    request = http_request.Request(b"GET", path.encode(), headers)
+    return table.find(
+        request_head.parse_host(request), request_head.parse_path(request)
+    )
 
 
 def compute_changes(
@@ -156,4 +164,5 @@
         round(route.target_latency_s * 1000),
         route.max_attempts,
         route.rank,
+        route.public,
     ]
--- a/packages/catkintiller-operator/src/catkintiller_operator/request_trace.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/request_trace.py
@@ -72,7 +72,7 @@
 ) -> tuple[list[Event], list[UnreadableLine]]:
     """Parses the log lines of a request and of its nested calls.
 
-    :param identity: ID of the request; the IDs of its nested calls begin with it.
+    :param identity: ID of the request; its nested calls extend it after a dot.
     :returns: the events, and the lines that contain the ID but cannot be parsed.
     """
     events: list[Event] = []
@@ -85,11 +85,20 @@
         except ValueError as error:
             unreadable.append(UnreadableLine(file, number, str(error)))
             continue
-        if str(entry.get("id", "")).startswith(identity):
+        if not is_part_of(str(entry.get("id", "")), identity):
+            continue
+        try:
             events.append(build_event(entry))
+        except (TypeError, ValueError) as error:
+            unreadable.append(UnreadableLine(file, number, str(error)))
     return events, unreadable
 
 
+def is_part_of(found: str, identity: str) -> bool:
+    """Returns whether an ID is that of a request or of one of its nested calls."""
+    return found == identity or found.startswith(f"{identity}.")
+
+
 def build_event(entry: dict[str, object]) -> Event:
     """Builds an event from a parsed log line."""
     fields = {k: v for k, v in entry.items() if k not in _KEYS_OUTSIDE_DETAILS}
@@ -106,17 +115,24 @@
 def describe_cause(events: list[Event]) -> str:
     """Describes the outcome of a request and its cause, from its last events."""
     if not events:
-        return "no line found: it did not arrive, or its lines exceeded a log limit"
+        return (
+            "no line found: it did not arrive, was rejected "
+            "(400, 401, 404, 408, 413, 431), or its lines exceeded a log limit"
+        )
     last = events[-1].fields
     reason = str(last.get("reason") or "")
     if reason:
         cause = CAUSE_BY_REASON.get(reason, reason) + describe_quota(last)
         if reason == "share_exceeded":
             cause += describe_share(last)
+        if last.get("next", "no_attempts") not in NO_RETRY_CAUSE:
+            return f"{cause}; another attempt was made, and no line tells its outcome"
         no_retry = describe_missing_retry(events)
         return f"{cause}; no retry: {no_retry}" if no_retry else cause
     status = last.get("status")
-    if isinstance(status, int) and status >= 500:
+    if not isinstance(status, int):
+        return "no line tells its outcome"
+    if status >= 500:
         return f"the endpoint itself responded with status {status}"
     return "the request was answered"
 
@@ -161,7 +177,7 @@
     unreadable: list[UnreadableLine] = []
     for file in files:
         try:
-            with open(file, encoding="utf-8") as stream:
+            with open(file, encoding="utf-8", errors="replace") as stream:
                 file_events, file_unreadable = parse_events(stream, file, identity)
         except OSError as error:
             unreadable.append(UnreadableLine(file, 0, str(error)))
