--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/ranking_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/ranking_test.py
@@ -74,7 +74,7 @@
     """A customer of priority 1 demands several times the room of its priority."""
 
     def test_its_most_important_requests_are_admitted(self) -> None:
-        """Its filings were refused as often as its lookups, which need far more room."""
+        """Its filings were refused as often as its lookups, which need more room."""
         ranks = build_ranking(PLAIN, SECOND)
         demand = {
             ranks.get_rank(FILE, PLAIN): 0.1 * SLOTS,
