Headers of a response are read once

The names were converted to lower case three times for each response of the endpoint: to store them, to search for notices and to choose what is forwarded. The lines to forward are now built as the headers arrive, and the notice is parsed only if one of its headers is there.

--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
@@ -161,6 +161,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
         self._headers: list[tuple[bytes, bytes]] = []
+        self._forwarded_lines: list[bytes] = []
         self._values: dict[bytes, bytes] = {}
         self._reason_phrase = b""
         self._body_chunks: list[bytes] = []
@@ -234,6 +235,7 @@
     def on_message_begin(self) -> None:
         """Resets the parser state for a new response."""
         self._headers = []
+        self._forwarded_lines = []
         self._values = {}
         self._reason_phrase = b""
         self._drop_body()
@@ -248,8 +250,11 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Appends a header, or a trailer."""
-        self._headers.append((name, value))
-        self._values[name.lower()] = value
+        lower_name = name.lower()
+        self._headers.append((lower_name, value))
+        self._values[lower_name] = value
+        if lower_name not in _DROPPED_HEADERS:
+            self._forwarded_lines.append(b"%b: %b\r\n" % (name, value))
 
     def on_headers_complete(self) -> None:
         """Passes on the notice in the head if the response is for the exchange."""
@@ -266,7 +271,10 @@
             and self._is_response_to(exchange)
         ):
             names = self._owner.header_names
-            exchange.on_notice(response_notices.parse_notice(self._headers, names))
+            notice = response_notices.NO_NOTICE
+            if names.rate_limit in self._values or names.leaving in self._values:
+                notice = response_notices.parse_notice(self._headers, names)
+            exchange.on_notice(notice)
 
     def on_body(self, chunk: bytes) -> None:
         """Appends a part of the body; fails the exchange above the size limit."""
@@ -415,18 +423,11 @@
         head = b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n" % (
             status,
             self._reason_phrase or b"Status",
-            self._join_forwarded_headers(),
+            b"".join(self._forwarded_lines),
             len(body),
         )
         exchange.complete(data.Outcome.ANSWERED, None, status, head, body)
 
-    def _join_forwarded_headers(self) -> bytes:
-        return b"".join(
-            b"%b: %b\r\n" % (name, value)
-            for name, value in self._headers
-            if name.lower() not in _DROPPED_HEADERS
-        )
-
     def _release_connection(self, headers: dict[bytes, bytes], reusable: bool) -> None:
         keep_alive = headers.get(b"keep-alive")
         if keep_alive is not None:
@@ -440,6 +441,8 @@
             self._transport.close()
 
     def _drop_body(self) -> None:
+        if not self._body_bytes:
+            return
         reserved_bytes, self._reserved_bytes = self._reserved_bytes, 0
         self._owner.budget.release(reserved_bytes)
         self._body_bytes = 0
