--- a/packages/catkintiller-relay/src/catkintiller_relay/telemetry/metrics.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/telemetry/metrics.py
@@ -81,9 +81,12 @@
 
     :returns: the lowest latency that the histogram does not tell apart from this one.
     """
-    clamped_us = max(MIN_LATENCY_US, min(MAX_LATENCY_US, latency_us))
-    shift = max(0, clamped_us.bit_length() - SIGNIFICANT_BIT_COUNT)
-    return clamped_us >> shift << shift
+    if latency_us < MIN_LATENCY_US:
+        return MIN_LATENCY_US
+    if latency_us > MAX_LATENCY_US:
+        latency_us = MAX_LATENCY_US
+    shift = latency_us.bit_length() - SIGNIFICANT_BIT_COUNT
+    return latency_us >> shift << shift if shift > 0 else latency_us
 
 
 def escape_label(value: str) -> str:
