Attempts at the endpoint take fewer closures and calls

Each attempt created three closures that hold the message and its body, and each adds a call to the result. They are partial calls now, which keep only what the result needs. The time is asked for once when a connection is taken, and bodies that are not held are not released.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import functools
 
 from .. import data, sockets
 from ..ingress import body_budget
@@ -264,9 +265,11 @@
     def _get_reason(self, result: attempts.AttemptResult) -> str:
         """Returns the reason in a result, in the terms of the peer's version."""
         reason = result.reason
+        if reason is None:
+            return ""
         if reason is data.RefusalReason.BLOCKED and not self.takes_crash_reports:
             reason = data.RefusalReason.OVERLOADED
-        return reason.value if reason else ""
+        return reason.value
 
     def _submit(self, message: frames.Submit) -> None:
         number = message.number
@@ -291,20 +294,20 @@
         )
 
         execution = self._server.local_endpoint.submit(
-            attempt, lambda result: self._send_result(message, result)
+            attempt, functools.partial(self._send_result, number, message.route)
         )
         if execution.on_complete is not None:
             self._executions[number] = execution
 
     def _send_result(
-        self, message: frames.Submit, result: attempts.AttemptResult
+        self, number: int, route: str, result: attempts.AttemptResult
     ) -> None:
         """Sends the result of an attempt, on the connection for its size."""
-        number = message.number
         self._executions.pop(number, None)
-        self._release_body(number)
+        if number in self._held_bytes:
+            self._release_body(number)
         queue = self._server.local_endpoint.queue
-        own_s = self._server.get_own_s(message.route)
+        own_s = self._server.get_own_s(route)
         connection = self._choose_connection(result.body)
         if connection._carries_bodies and connection is not self:
             self._moved_results.append(number)
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_pool.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_pool.py
@@ -63,19 +63,19 @@
 
     def send(self, exchange: endpoint_client.Exchange) -> None:
         """Sends a request on an idle connection, or on a new one if there is none."""
-        connection = self._take_idle(exchange.request_id)
+        now = self._loop.time()
+        connection = self._take_idle(exchange.request_id, now)
         if connection is not None:
-            connection.send(exchange, self._loop.time())
+            connection.send(exchange, now)
             return
         task = self._loop.create_task(self._connect_and_send(exchange))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     def _take_idle(
-        self, request_id: bytes
+        self, request_id: bytes, now: float
     ) -> endpoint_client.EndpointConnection | None:
         """Takes an idle connection that has not carried a request with this ID."""
-        now = self._loop.time()
         passed_over = []
         taken = None
         while self._idle and taken is None:
@@ -88,7 +88,8 @@
                 passed_over.append(connection)
             else:
                 taken = connection
-        self._idle += reversed(passed_over)
+        if passed_over:
+            self._idle += reversed(passed_over)
         return taken
 
     def release(self, connection: endpoint_client.EndpointConnection) -> None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
@@ -1,6 +1,7 @@
 """Runs requests at the local endpoint within its concurrency limit."""
 
 import asyncio
+import functools
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -250,26 +251,11 @@
             current.instance.encode(),
         )
 
-        def handle_completion(
-            outcome: data.Outcome,
-            reason: data.RefusalReason | None,
-            status: int,
-            head: bytes,
-            body: bytes,
-        ) -> None:
-            self._finish(execution, outcome, reason, status, head, body)
-
-        def handle_notice(notice: response_notices.Notice) -> None:
-            source = NoticeSource(
-                current.instance, current.start_ms, execution.exchange.started_at
-            )
-            self._handle_notice(source, notice)
-
         execution.exchange = endpoint_client.Exchange(
             attempt.request_id,
             message,
-            handle_completion,
-            handle_notice,
+            functools.partial(self._finish, execution),
+            functools.partial(self._handle_notice, execution, current),
             attempt.body,
         )
         self._sent_count += 1
@@ -287,9 +273,7 @@
     ) -> None:
         now = self._loop.time()
         service_time_s = now - execution.started_at
-        counted_service_time_s = (
-            service_time_s if outcome is data.Outcome.ANSWERED else None
-        )
+        is_answered = outcome is data.Outcome.ANSWERED
         if (
             status == response_notices.MISDIRECTED_REQUEST_STATUS
             or self._pool.is_endpoint_down
@@ -297,17 +281,17 @@
             self._tracker.suspend()
             self._pool.failed_connects = 0
             self.refuse_queued()
-        if outcome is data.Outcome.ANSWERED:
+        if is_answered:
             self._last_response_at = now
-        if outcome is data.Outcome.ANSWERED and not self._crashes.history.is_empty:
-            self._crashes.handle_response(suspect_runs.get_fingerprint(execution))
-        if counted_service_time_s is not None and status < 300:
+            if not self._crashes.history.is_empty:
+                self._crashes.handle_response(suspect_runs.get_fingerprint(execution))
+        if is_answered and status < 300:
             running_request = execution.running_request
             self._graph.record_run(running_request)
             own_s = max(0.0, service_time_s - running_request.get_nested_s(now))
             route = execution.attempt.route
             self.service_times.record(now, route, service_time_s, own_s)
-        self._release_slot(execution, counted_service_time_s)
+        self._release_slot(execution, service_time_s if is_answered else None)
         on_complete, execution.on_complete = execution.on_complete, None
         if on_complete is not None:
             queued_s = execution.started_at - execution.submitted_at
@@ -360,18 +344,28 @@
         self._run_queued()
 
     def _handle_notice(
-        self, source: NoticeSource, notice: response_notices.Notice
+        self,
+        execution: attempts.Execution,
+        endpoint: data.Announcement,
+        notice: response_notices.Notice,
     ) -> None:
-        """Applies the rate limit in a response; ignores that of a former start."""
+        """Applies the rate limit in a response; ignores that of a former start.
+
+        :param endpoint: announcement of the endpoint that the request was sent to.
+        """
+        instance, start_ms = endpoint.instance, endpoint.start_ms
         current = self._tracker.current
-        if (source.instance, source.start_ms) != (current.instance, current.start_ms):
+        if instance != current.instance or start_ms != current.start_ms:
             return
         now = self._loop.time()
-        was_known, previous = self._named_limit.is_known, self._named_limit.limit
-        self._named_limit.apply(now, source.sent_at, notice.rate_limit)
-        if not was_known or self._named_limit.limit != previous:
-            self.queue.set_rate_limit(now, self._named_limit.limit)
+        sent_at = execution.exchange.started_at
+        named_limit = self._named_limit
+        was_known, previous = named_limit.is_known, named_limit.limit
+        named_limit.apply(now, sent_at, notice.rate_limit)
+        if not was_known or named_limit.limit != previous:
+            self.queue.set_rate_limit(now, named_limit.limit)
             self._run_queued()
+        source = NoticeSource(instance, start_ms, sent_at)
         self._on_notice(source, notice)
 
     def _handle_crash(self) -> None:
