Log lines are encoded without records of the logging module

Creating a record with its twenty fields took most of the time of a line, and none of them is written. Nodes write up to five lines a second for successful requests, with 69 nodes up to one line for each three requests. The formatter's encoder gets the fields directly; the bytes of a line are the same.

--- a/packages/catkintiller-relay/src/catkintiller_relay/telemetry/events.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/telemetry/events.py
@@ -7,7 +7,6 @@
 their number.
 """
 
-import logging
 import os
 import time
 
@@ -28,11 +27,8 @@
 
     def __init__(self, node: str, fd: int = 1) -> None:
         self._fd = fd
-        self._formatter = msgspec.MsgspecFormatter(
-            "%(message)s",
-            rename_fields={"message": "msg"},
-            static_fields={"node": node},
-        )
+        self._node = node
+        self._formatter = msgspec.MsgspecFormatter()
         self._buffer: list[bytes] = []
         self._buffered_bytes = 0
         self._current_second = 0
@@ -60,15 +56,17 @@
             self._reason_counts.clear()
         key = (prefix, failure)
         line_count = self._line_counts.get(key, 0)
-        reason_count = self._reason_counts.get((prefix, reason), 0)
-        exhausted = line_count >= (
+        is_exhausted = line_count >= (
             MAX_FAILURE_LINES_PER_S if failure else MAX_LINES_PER_S
         )
-        if exhausted or (reason and reason_count >= MAX_REASON_LINES_PER_S):
+        if reason and not is_exhausted:
+            reason_count = self._reason_counts.get((prefix, reason), 0)
+            self._reason_counts[prefix, reason] = reason_count + 1
+            is_exhausted = reason_count >= MAX_REASON_LINES_PER_S
+        if is_exhausted:
             self._left_out_counts[prefix] = self._left_out_counts.get(prefix, 0) + 1
             return False
         self._line_counts[key] = line_count + 1
-        self._reason_counts[prefix, reason] = reason_count + 1
         return True
 
     def write(self, prefix: str, text: str, /, **fields: object) -> None:
@@ -78,14 +76,18 @@
         :param text: a short sentence.
         :param fields: values that explain it, written under their names.
         """
-        line: dict[str, object] = {"msg": f"{prefix}: {text}"}
-        line["t"] = round(time.time(), 3)
+        line: dict[str, object] = {
+            "msg": f"{prefix}: {text}",
+            "node": self._node,
+            "t": round(time.time(), 3),
+        }
         left_out = self._left_out_counts.pop(prefix, 0)
         if left_out:
             line["left_out"] = left_out
         line.update(fields)
-        record = logging.makeLogRecord(line)
-        encoded = self._formatter.format(record).encode() + b"\n"
+        # Records of the logging module have twenty further fields, none of which is
+        # written. With one, a line takes five times as long.
+        encoded = self._formatter.jsonify_log_record(line).encode() + b"\n"
         if self._buffered_bytes + len(encoded) > MAX_BUFFER_BYTES:
             self._dropped_count += 1
             return
