Candidates are built and compared with fewer calls

Each endpoint of a service cost about ten calls of properties, min and max at each request. What follows from a missing rate limit or failure ratio is now skipped, and the extremes are found by comparison.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -158,7 +158,8 @@
     @property
     def takes_requests(self) -> bool:
         """Whether the peer's endpoint accepts new requests, also as a lame duck."""
-        return self.is_endpoint_open and self.connected
+        connection = self._connection
+        return self.is_endpoint_open and connection is not None and connection.usable
 
     @property
     def usable_slots(self) -> float:
@@ -166,6 +167,8 @@
         state = self.state
         if state is None:
             return 0.0
+        if state.rate_limit is None:
+            return float(state.concurrency_limit)
         return rate_limiter.compute_usable_slots(
             state.concurrency_limit, state.rate_limit, self.service_time_s
         )
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
@@ -111,9 +111,11 @@
                 )
             )
         zone = self._settings.zone
+        trackers = self._failure_trackers
         for address, peer in self._get_usable_peers(service, tried_nodes, rng):
             state = peer.state
             same_zone = peer.zone == zone
+            tracker = trackers.get(address)
             group = suspects if peer.is_suspect(now) else candidates
             group.append(
                 endpoint_selection.Candidate(
@@ -124,7 +126,7 @@
                     state.lame_duck,
                     same_zone,
                     SAME_ZONE_ROUND_TRIP_S if same_zone else OTHER_ZONE_ROUND_TRIP_S,
-                    self._get_failure_ratio(address, now),
+                    0.0 if tracker is None else tracker.get_ratio(now),
                     now - peer.load_known_at,
                     state.rate_limit,
                 )
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_selection.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_selection.py
@@ -92,9 +92,10 @@
         service_time_s = default_service_time_s
     usable_slots = max(1.0, candidate.usable_slots)
     occupancy = (candidate.load + 1.0) / usable_slots
-    queue_wait_ratio = QUEUE_WAIT_FACTOR * max(
-        0.0, occupancy - MAX_OCCUPANCY_WITHOUT_WAIT
-    ) + FULL_WAIT_FACTOR * max(0.0, occupancy - 1.0)
+    queue_wait_ratio = 0.0
+    if occupancy > MAX_OCCUPANCY_WITHOUT_WAIT:
+        queue_wait_ratio = QUEUE_WAIT_FACTOR * (occupancy - MAX_OCCUPANCY_WITHOUT_WAIT)
+        queue_wait_ratio += FULL_WAIT_FACTOR * max(0.0, occupancy - 1.0)
     endpoint_s = service_time_s * (
         1.0 + queue_wait_ratio + OCCUPANCY_FACTOR * occupancy
     )
@@ -103,8 +104,10 @@
         endpoint_s += waiting_count / max(
             rate_limiter.MIN_RATE_PER_S, candidate.rate_limit
         )
-    success_ratio = max(MIN_SUCCESS_RATIO, 1.0 - candidate.failure_ratio)
-    expected_s = (endpoint_s + candidate.round_trip_s) / success_ratio**2
+    expected_s = endpoint_s + candidate.round_trip_s
+    if candidate.failure_ratio:
+        success_ratio = max(MIN_SUCCESS_RATIO, 1.0 - candidate.failure_ratio)
+        expected_s /= success_ratio**2
     if candidate.lame_duck:
         expected_s *= LAME_DUCK_FACTOR
     return expected_s if candidate.same_zone else expected_s * OTHER_ZONE_FACTOR
@@ -131,14 +134,11 @@
     if age_sum_s > UNKNOWN_AFTER_S * count:
         return _select_by_capacity([*same_zone, *other_zone], rng)
     is_stale = age_sum_s > STALE_AFTER_S * count
-    pool = [
-        *sample_candidates(
-            same_zone, STALE_SAMPLE_COUNT if is_stale else SAME_ZONE_SAMPLE_COUNT, rng
-        ),
-        *sample_candidates(
-            other_zone, STALE_SAMPLE_COUNT if is_stale else OTHER_ZONE_SAMPLE_COUNT, rng
-        ),
-    ]
+    same_zone_count = STALE_SAMPLE_COUNT if is_stale else SAME_ZONE_SAMPLE_COUNT
+    other_zone_count = STALE_SAMPLE_COUNT if is_stale else OTHER_ZONE_SAMPLE_COUNT
+    pool = sample_candidates(same_zone, same_zone_count, rng)
+    if other_zone:
+        pool = pool + sample_candidates(other_zone, other_zone_count, rng)
     known_s = [each.service_time_s for each in pool if each.service_time_s is not None]
     default_s = min(known_s, default=DEFAULT_SERVICE_TIME_S)
     pool = _narrow_by_zone(pool, default_s, rng)
@@ -172,22 +172,28 @@
     While the own zone fills up, a growing part of the requests leaves it: if all nodes
     left it at the same load, they would overload the other zones one after the other.
     """
-    with_room, preferred = [], []
+    with_room = [
+        each
+        for each in pool
+        if each.load < each.usable_slots or each.load_age_s > UNKNOWN_AFTER_S
+    ]
     fastest_s = math.inf
     least_failure_ratio = zone_failure_ratio = 1.0
-    for each in pool:
-        if each.load >= each.usable_slots and each.load_age_s <= UNKNOWN_AFTER_S:
-            continue
-        with_room.append(each)
-        fastest_s = min(fastest_s, each.service_time_s or default_s)
-        least_failure_ratio = min(least_failure_ratio, each.failure_ratio)
+    for each in with_room:
+        service_time_s = each.service_time_s or default_s
+        if service_time_s < fastest_s:
+            fastest_s = service_time_s
+        if each.failure_ratio < least_failure_ratio:
+            least_failure_ratio = each.failure_ratio
     slowest_s = MAX_SAME_ZONE_SLOWNESS * fastest_s
+    preferred = []
     room = slots = 0.0
     for each in with_room:
         service_time_s = each.service_time_s or default_s
         if each.same_zone and not each.lame_duck and service_time_s <= slowest_s:
             preferred.append(each)
-            zone_failure_ratio = min(zone_failure_ratio, each.failure_ratio)
+            if each.failure_ratio < zone_failure_ratio:
+                zone_failure_ratio = each.failure_ratio
             room += each.room
             slots += each.usable_slots
     if zone_failure_ratio > least_failure_ratio + MAX_FAILURE_DIFFERENCE:
