Replies are decoded without calls of enums

A call of an enum takes about ten times as long as a lookup in a dict, and each reply needs one. Whether a reply is large is checked before a method is called for it.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/outgoing_connection.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/outgoing_connection.py
@@ -14,6 +14,9 @@
 CompletionHandler = Callable[[attempts.AttemptResult], None]
 SuspectHandler = Callable[[], None]
 
+# Calls of an enum take longer than a lookup, and each reply needs both.
+_OUTCOMES = {int(each): each for each in data.Outcome}
+_REASONS = {each.value: each for each in data.RefusalReason}
 
 _LOST_RESULT = attempts.AttemptResult(
     data.Outcome.UNKNOWN, data.RefusalReason.NODE_LOST, 0, b"", b"", 0.0, 0.0
@@ -145,7 +148,8 @@
         self.probed_at = None
         for message in messages:
             if type(message) is frames.Reply:
-                self._open_body_connection_for(message)
+                if len(message.body) >= frames.LARGE_BODY_BYTES:
+                    self._open_body_connection()
                 self.handle_reply(message)
             else:
                 self._peer.handle_message(message)
@@ -209,10 +213,9 @@
 
     def handle_reply(self, reply: frames.Reply) -> None:
         """Passes on the result of an attempt, from either connection."""
-        try:
-            outcome = data.Outcome(reply.outcome)
-            reason = data.RefusalReason(reply.reason) if reply.reason else None
-        except ValueError:
+        outcome = _OUTCOMES.get(reply.outcome)
+        reason = _REASONS.get(reply.reason)
+        if outcome is None or (reason is None and reply.reason):
             # The attempt ends with the connection, its outcome unknown.
             self.handle_invalid_message(f"outcome {reply.outcome} {reply.reason}")
             self.abort()
@@ -269,10 +272,7 @@
             self._body_connection.open()
         return self._body_connection
 
-    def _open_body_connection_for(self, reply: frames.Reply) -> None:
+    def _open_body_connection(self) -> None:
         """Opens the second connection for the large responses that may follow."""
-        if (
-            len(reply.body) >= frames.LARGE_BODY_BYTES
-            and self._peer.handles_body_connections
-        ):
+        if self._peer.handles_body_connections:
             self._get_body_connection()
