--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/request_head.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/request_head.py
@@ -30,10 +30,12 @@
     """
 
     def __init__(self, header_names: data.HeaderNames, service: str) -> None:
-        self._replaced_names = frozenset(
-            (header_names.caller, header_names.deadline, header_names.target)
-        )
-        self._names_with_customers = self._replaced_names | {
+        self._dropped_names = _HOP_BY_HOP | {
+            header_names.caller,
+            header_names.deadline,
+            header_names.target,
+        }
+        self._dropped_with_customers = self._dropped_names | {
             header_names.credentials,
             header_names.customer,
         }
@@ -46,20 +48,16 @@
         :param customer: name of the customer that the endpoint is told, empty for none;
             None if the config has no customers. Otherwise the key is left out.
         """
-        replaced_names = (
-            self._replaced_names if customer is None else self._names_with_customers
+        dropped_names = (
+            self._dropped_names if customer is None else self._dropped_with_customers
         )
         connection_header = request.get_header(b"connection")
-        connection_tokens = parse_tokens(connection_header) if connection_header else ()
+        if connection_header:
+            dropped_names = dropped_names.union(parse_tokens(connection_header))
         lines = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
         for name, value in request.headers:
-            if (
-                name in _HOP_BY_HOP
-                or name in replaced_names
-                or name in connection_tokens
-            ):
-                continue
-            lines.append(b"%b: %b\r\n" % (name, value))
+            if name not in dropped_names:
+                lines.append(b"%b: %b\r\n" % (name, value))
         lines.append(self._caller)
         if customer:
             lines.append(b"%b: %b\r\n" % (self._customer_name, customer.encode()))
