--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 import random
 
 from .. import data
@@ -219,20 +220,13 @@
         )
 
         node = candidate.node
-
-        def handle_result(result: attempts.AttemptResult) -> None:
-            pending.outstanding.pop(node, None)
-            self._handle_result(pending, node, result)
-
+        handle_result = functools.partial(self._handle_result, pending, node)
         if node == endpoint_directory.LOCAL_NODE:
             execution = self._local_endpoint.submit(attempt, handle_result)
             if execution.on_complete is not None:
                 pending.outstanding[node] = (None, execution)
             return
-
-        def handle_suspect() -> None:
-            self._send_hedged_attempt(pending, node)
-
+        handle_suspect = functools.partial(self._send_hedged_attempt, pending, node)
         peer = self._endpoints.get_peer(node)
         pending.outstanding[node] = peer.submit(attempt, handle_result, handle_suspect)
 
@@ -297,6 +291,7 @@
     def _handle_result(
         self, pending: PendingRequest, node: str, result: attempts.AttemptResult
     ) -> None:
+        pending.outstanding.pop(node, None)
         now = self._loop.time()
         outcome = result.outcome
         pending.last_reason = result.reason or pending.last_reason
