A parent is searched without a list and a key function

A list, a dict and calls of a key function were needed for each nested call. Whether a route is a callee is asked only if there is no parent.

--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/authentication.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/authentication.py
@@ -8,7 +8,8 @@
 
 import enum
 from collections.abc import Callable
-from typing import NamedTuple
+
+import msgspec
 
 from .. import data
 from ..customers import credentials
@@ -32,7 +33,7 @@
         return data.RefusalReason(self.value)
 
 
-class Identity(NamedTuple):
+class Identity(msgspec.Struct, frozen=True):
     """Sender of a request.
 
     :param customer: customer that it is charged to; None if there is none, or for a
@@ -120,11 +121,11 @@
         self, request_id: bytes, route: data.Route, now: float
     ) -> Identity:
         parent = self._running_requests.find_extended(request_id)
-        is_callee = self._graph.is_callee(route.name)
         if parent is not None:
             # A key may have been withdrawn since; the tree of calls is completed.
             customer = self._customers.get(parent.customer)
             return Identity(Decision.ACCEPT, customer, parent, True)
+        is_callee = self._graph.is_callee(route.name)
         if route.public:
             return Identity(Decision.ACCEPT, None, None, is_callee)
         extends_id = call_graph.get_root_id(request_id) not in (b"", request_id)
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/call_graph.py
@@ -186,13 +186,16 @@
         root_id = get_root_id(request_id)
         if not root_id:
             return None
-        related = self._requests_by_root.get(root_id, {})
-        extended = [
-            request
-            for request in related.values()
-            if request_id.startswith(request.request_id + b".")
-        ]
-        return max(extended, key=lambda each: len(each.request_id), default=None)
+        longest_bytes = 0
+        longest = None
+        for request in self._requests_by_root.get(root_id, {}).values():
+            extended_id = request.request_id
+            if len(extended_id) > longest_bytes and request_id.startswith(
+                extended_id + b"."
+            ):
+                longest_bytes = len(extended_id)
+                longest = request
+        return longest
 
     def find_parent_by_id(self, request_id: bytes) -> RunningRequest | None:
         """Finds the running request whose ID a nested call extends.
