Records of a request are structs of msgspec instead of named tuples

About a dozen records are created for each request over two nodes, four of them candidates. Candidate keeps _replace, which tests use.

--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/http_head.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/http_head.py
@@ -1,6 +1,6 @@
 """Heads of HTTP/1.1 requests and responses, without a connection."""
 
-from typing import NamedTuple
+import msgspec
 
 REASON_PHRASES = {
     200: b"OK",
@@ -26,7 +26,7 @@
 Headers = list[tuple[bytes, bytes]]
 
 
-class Framing(NamedTuple):
+class Framing(msgspec.Struct, frozen=True):
     """What a head says about the body of its request.
 
     :param header_bytes: size of the headers.
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/outgoing_connection.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/outgoing_connection.py
@@ -3,7 +3,6 @@
 import abc
 import asyncio
 from collections.abc import Callable
-from typing import NamedTuple
 
 import msgspec
 
@@ -26,7 +25,7 @@
 )
 
 
-class OutstandingAttempt(NamedTuple):
+class OutstandingAttempt(msgspec.Struct, frozen=True):
     """An attempt sent to a peer that has no result yet.
 
     :param route: name of the route that the request matches.
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_selection.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_selection.py
@@ -12,7 +12,8 @@
 import math
 import random
 from collections.abc import Iterable
-from typing import NamedTuple
+
+import msgspec
 
 from ..serving import rate_limiter
 
@@ -37,7 +38,7 @@
 DEFAULT_SERVICE_TIME_S = 0.03
 
 
-class Candidate(NamedTuple):
+class Candidate(msgspec.Struct, frozen=True):
     """State of an endpoint, as last reported to the node where a request arrives.
 
     :param node: address of the node beside it.
@@ -79,6 +80,10 @@
         """Address of the node beside the endpoint, the same one at all nodes."""
         return self.node or self.own_address
 
+    def _replace(self, **changes: object) -> "Candidate":
+        """Returns a candidate with changed fields, like that of a named tuple."""
+        return msgspec.structs.replace(self, **changes)
+
 
 def compute_expected_latency_s(
     candidate: Candidate, default_service_time_s: float
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/attempts.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/attempts.py
@@ -1,14 +1,15 @@
 """Attempts to run a request at an endpoint, their state and their results."""
 
 from collections.abc import Callable
-from typing import NamedTuple
+
+import msgspec
 
 from .. import data
 from ..routing import call_graph
 from . import endpoint_client
 
 
-class Attempt(NamedTuple):
+class Attempt(msgspec.Struct, frozen=True):
     """One attempt to run a request at an endpoint.
 
     :param request_id: identity of the request, as sent by its client.
@@ -40,7 +41,7 @@
     may_hand_over: bool = False
 
 
-class AttemptResult(NamedTuple):
+class AttemptResult(msgspec.Struct, frozen=True):
     """Result of an attempt.
 
     :param reason: why it was not run or its outcome is unknown; None if answered.
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
@@ -3,7 +3,9 @@
 import asyncio
 import functools
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any
+
+import msgspec
 
 from .. import data
 from ..crashes import crash, crash_reporter
@@ -24,7 +26,7 @@
 CANCELLED_COUNTS_S = 1.0  # an endpoint may go on with a cancelled request
 
 
-class NoticeSource(NamedTuple):
+class NoticeSource(msgspec.Struct, frozen=True):
     """Response that a notice was in.
 
     :param instance: instance ID of the endpoint that it came from.
