Send half as many load reports to more than 20 connections

Cause: each node sends and receives 80 reports a second, about a quarter of the processor time of an idle node among many.

Beyond 20 connections, 10 reports are sent in a round instead of 20. A peer announces the longer interval, so nobody probes it early; since rounds begin a few percent late, the margin grows with the interval. A node with outstanding requests at a silent peer still probes it after 0.3 s. Reports older than 1.2 s are extrapolated from the others as before: with 69 nodes these are two thirds of the peers, a sample without bias.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -20,9 +20,11 @@
 CONNECT_TIMEOUT_S = 1.0
 
 # Time without bytes from a peer after which it is probed: while requests run there, and
-# beyond the announced time of its next load report.
+# beyond the announced time of its next load report. Each round of reports begins a few
+# percent late, so the margin of a report that is many rounds away is larger.
 BUSY_PROBE_AFTER_S = 0.3
 IDLE_PROBE_MARGIN_S = 0.05
+IDLE_PROBE_MARGIN_RATIO = 0.1
 
 # Time without a reply to a probe after which a peer is suspect, and after which its
 # connection is replaced; time without bytes after which a replaced one is aborted.
@@ -333,7 +335,10 @@
         self, connection: outgoing_connection.OutgoingConnection, now: float
     ) -> None:
         silence_s = now - connection.last_received_at
-        probe_after_s = self.report_interval_s + IDLE_PROBE_MARGIN_S
+        interval_s = self.report_interval_s
+        probe_after_s = interval_s + max(
+            IDLE_PROBE_MARGIN_S, IDLE_PROBE_MARGIN_RATIO * interval_s
+        )
         if connection.outstanding:
             probe_after_s = min(probe_after_s, BUSY_PROBE_AFTER_S)
         if silence_s > probe_after_s:
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections_test.py
@@ -115,6 +115,55 @@
         peer_set_test.run(check)
 
 
+class TestSilence:
+    """A long interval of reports must neither cause probes nor delay suspicion."""
+
+    INTERVAL_MS = 1750
+
+    def test_late_report_of_many_connections_is_awaited(self) -> None:
+        """Seven rounds begin later than announced by more than the fixed margin.
+
+        Each probe costs a request and a report, so the probes would replace the reports
+        that are saved.
+        """
+
+        async def check() -> None:
+            peer, sent_at = await self.connect()
+            connection = peer._connection
+            interval_s = self.INTERVAL_MS / 1000
+            peer.tick(sent_at + interval_s + 2 * connections.IDLE_PROBE_MARGIN_S)
+            assert connection.probed_at is None
+            peer.tick(sent_at + 1.2 * interval_s)
+            assert connection.probed_at is not None
+            peer.close()
+
+        peer_set_test.run(check)
+
+    def test_silent_peer_with_requests_is_suspect_within_a_second(self) -> None:
+        """The node that sends to it must not wait for the time of the next report."""
+
+        async def check() -> None:
+            peer, sent_at = await self.connect()
+            peer._connection.outstanding[1] = mock.Mock()
+            for tick in range(1, 10):
+                peer.tick(sent_at + tick / 10)
+            assert peer.is_suspect(sent_at + 1.0)
+            peer._connection.outstanding.clear()
+            peer.close()
+
+        peer_set_test.run(check)
+
+    async def connect(self) -> tuple[connections.Peer, float]:
+        """Returns a peer that has announced the interval, and the time of its bytes."""
+        peer, _ = await connect_peer()
+        state = build_node_state()
+        report = msgspec.structs.replace(
+            state.load_report, interval_ms=self.INTERVAL_MS
+        )
+        peer.handle_message(msgspec.structs.replace(state, load_report=report))
+        return peer, peer._connection.last_received_at
+
+
 async def connect_peer() -> tuple[connections.Peer, peer_set_test.SilentServer]:
     """Connects to a node that has not sent its state yet."""
     loop = asyncio.get_running_loop()
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -2,8 +2,8 @@
 
 The nodes that are connected get the node state when it changes, and load reports in
 turn. The number of reports per second is limited: with more connections, each one gets
-fewer. Replies to requests carry the load as well, and a node that needs a report sooner
-requests it.
+fewer, and beyond 20 connections half as many are sent in all. Replies to requests carry
+the load as well, and a node that needs a report sooner requests it.
 """
 
 import asyncio
@@ -15,7 +15,8 @@
 from . import body_connection, frames, peer_observer
 
 REPORT_ROUND_INTERVAL_S = 0.25
-REPORTS_PER_ROUND = 20
+MAX_FULL_ROUND_COUNT = 20  # connections up to which each one gets every report
+REPORTS_PER_ROUND = 10  # with more connections
 ROOM_CHECK_INTERVAL_S = 0.02
 MAX_REMEMBERED_RESULTS = 64
 
@@ -354,9 +355,15 @@
     @property
     def report_interval_s(self) -> float:
         """Time between two load reports to the same node, in seconds."""
-        rounds = -(-len(self._connections) // REPORTS_PER_ROUND)
+        rounds = -(-len(self._connections) // self._reports_per_round)
         return REPORT_ROUND_INTERVAL_S * max(1, rounds)
 
+    @property
+    def _reports_per_round(self) -> int:
+        if len(self._connections) <= MAX_FULL_ROUND_COUNT:
+            return MAX_FULL_ROUND_COUNT
+        return REPORTS_PER_ROUND
+
     @property
     def is_transferring_body(self) -> bool:
         """Whether part of a message with a large body has arrived or left."""
@@ -412,7 +419,7 @@
 
     def send_reports(self) -> None:
         """Sends a load report to the nodes whose turn it is."""
-        receivers = list(self._connections)[:REPORTS_PER_ROUND]
+        receivers = list(self._connections)[: self._reports_per_round]
         if not receivers:
             return
         frame = frames.encode(self.observer.build_load_report())
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server_test.py
@@ -44,6 +44,19 @@
         assert [connection.frame_count for connection in connections] == [4] * 12
         assert server.report_interval_s == peer_server.REPORT_ROUND_INTERVAL_S
 
+    def test_number_is_halved_only_beyond_the_full_round(self) -> None:
+        """Deployments of 20 connections must be served as before."""
+        full_count = peer_server.MAX_FULL_ROUND_COUNT
+        server, connections = build_server(full_count)
+        server.send_reports()
+        assert {connection.frame_count for connection in connections} == {1}
+        assert server.report_interval_s == peer_server.REPORT_ROUND_INTERVAL_S
+        server, connections = build_server(full_count + 1)
+        server.send_reports()
+        counts = [connection.frame_count for connection in connections]
+        assert sum(counts) == peer_server.REPORTS_PER_ROUND
+        assert server.report_interval_s == 3 * peer_server.REPORT_ROUND_INTERVAL_S
+
     def test_many_connections_get_reports_in_turn(self) -> None:
         server, connections = build_server(195)
         rounds = round(server.report_interval_s / peer_server.REPORT_ROUND_INTERVAL_S)
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory_test.py
@@ -58,3 +58,48 @@
             "stock", "find", set(), 0.0, random.Random(1)
         )
         assert candidates
+
+
+class ReportingPeer:
+    """A peer that has reported its demand.
+
+    :ivar reported_at: time of its last report, in seconds.
+    """
+
+    handles_load_requests = True
+
+    def __init__(self, number: int, slots: int) -> None:
+        self.address = f"n{number}"
+        self.slot_demand = {("stock", 0): slots}
+        self.reported_at = 0.0
+
+
+class TestPeerDemand:
+    """Peers that report less often than their reports count are only a sample."""
+
+    REPORT_INTERVAL_S = 1.75
+
+    def test_estimate_is_unbiased_with_rare_reports(self) -> None:
+        """Reports that are too old must be replaced by the mean of the others.
+
+        Were they left out, a third of the demand would not be seen and too many
+        requests would be admitted.
+        """
+        rng = random.Random(3)
+        peers = [ReportingPeer(number, rng.randrange(1000)) for number in range(68)]
+        expected_slots = sum(peer.slot_demand["stock", 0] for peer in peers) / 1000
+        fake_set = types.SimpleNamespace(estimate_live_count=len)
+        directory = endpoint_directory.EndpointDirectory(
+            node_test.build_settings(), None, fake_set
+        )
+        estimates = []
+        for step in range(1, 36):
+            now = 100.0 + step * self.REPORT_INTERVAL_S / 35
+            for number, peer in enumerate(peers):
+                phase_s = number / len(peers) * self.REPORT_INTERVAL_S
+                peer.reported_at = now - (now + phase_s) % self.REPORT_INTERVAL_S
+            demand = directory.estimate_peer_demand(now, peers)
+            estimates.append(demand["stock"][0])
+        mean_slots = sum(estimates) / len(estimates)
+        assert abs(mean_slots / expected_slots - 1.0) < 0.01
+        assert max(estimates) < 1.2 * expected_slots
