Sum the loads of the endpoints with fewer calls

Cause: the sum over all peers, ten times a second, called three functions and a property for each of them.

The ratio of a service is looked up once, and the slots of an endpoint without a rate limit are its concurrency limit. The result is the same.

--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
@@ -223,14 +223,27 @@
         if connected is None:
             connected = self.get_connected_peers()
         totals: dict[str, Load] = {}
+        ratios: dict[str, float] = {}
         for peer in connected:
             if not peer.is_endpoint_open:
                 continue
-            service = peer.state.service
-            ratio = self._peers.get_sampled_ratio(service)
-            slots = max(MIN_COUNTED_SLOTS, peer.usable_slots) * ratio
-            total_slots, total_work = totals.get(service, (0.0, 0.0))
-            utilization = min(MAX_COUNTED_UTILIZATION, peer.utilization)
+            state = peer.state
+            service = state.service
+            if service in totals:
+                total_slots, total_work = totals[service]
+            else:
+                total_slots = total_work = 0.0
+                ratios[service] = self._peers.get_sampled_ratio(service)
+            # The property costs more than the rest; most have no rate limit.
+            slots = state.concurrency_limit
+            if state.rate_limit is not None:
+                slots = peer.usable_slots
+            if slots < MIN_COUNTED_SLOTS:
+                slots = MIN_COUNTED_SLOTS
+            slots *= ratios[service]
+            utilization = peer.utilization
+            if utilization > MAX_COUNTED_UTILIZATION:
+                utilization = MAX_COUNTED_UTILIZATION
             totals[service] = (total_slots + slots, total_work + utilization * slots)
         if self._local_endpoint.accepting or self._local_endpoint.lame_duck:
             queue = self._local_endpoint.queue
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory_test.py
@@ -60,6 +60,50 @@
         assert candidates
 
 
+class LoadedPeer:
+    """A peer whose endpoint has a utilization and perhaps a rate limit."""
+
+    is_endpoint_open = True
+
+    def __init__(
+        self, service: str, utilization: float, usable_slots: float | None = None
+    ) -> None:
+        self.utilization = utilization
+        self.usable_slots = 10.0 if usable_slots is None else usable_slots
+        self.state = types.SimpleNamespace(
+            service=service,
+            concurrency_limit=10,
+            rate_limit=None if usable_slots is None else 5.0,
+        )
+
+
+class TestLoads:
+    """Slots and utilization of the services."""
+
+    def test_sum_over_the_endpoints(self) -> None:
+        """A rate limit must reduce the slots, and a subset must be extrapolated."""
+        fake_set = types.SimpleNamespace(
+            get_sampled_ratio={"stock": 1.0, "pay": 2.0, "gift": 1.0}.get
+        )
+        local = types.SimpleNamespace(accepting=False, lame_duck=False)
+        directory = endpoint_directory.EndpointDirectory(
+            node_test.build_settings(), local, fake_set
+        )
+        closed = LoadedPeer("pay", 0.9)
+        closed.is_endpoint_open = False
+        peers = [
+            LoadedPeer("stock", 0.5),
+            LoadedPeer("pay", 0.4),
+            LoadedPeer("stock", 9.0, usable_slots=2.0),
+            LoadedPeer("gift", 0.4, usable_slots=0.0),
+            closed,
+        ]
+        loads = directory.get_loads(peers)
+        assert loads["pay"] == (20.0, 0.4)
+        assert loads["stock"] == (12.0, (5.0 + 2.0 * 1.5) / 12.0)
+        assert loads["gift"] == (endpoint_directory.MIN_COUNTED_SLOTS, 0.4)
+
+
 class ReportingPeer:
     """A peer that has reported its demand.
 
