Check the peers and the candidates for coordinator with less work

Cause: ten times a second the responsive peers were sorted by their position, and the silence of all of them was looked up, although three are enough.

The sorted addresses are kept until peers come or go; the connections of these are still checked each time. The coordinator is chosen from the first three candidates that are not silent, which contain this node or the first two others, so that the choice is the same. A peer that was heard within the time in which no probe can be due is not checked further.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -310,7 +310,12 @@
         """
         connection = self._connection
         if connection is not None:
-            self._check_responsiveness(connection, now)
+            probe_after_s = (
+                BUSY_PROBE_AFTER_S if connection.outstanding else self.report_interval_s
+            )
+            is_waiting = connection.probed_at is not None
+            if is_waiting or now - connection.last_received_at > probe_after_s:
+                self._check_responsiveness(connection, now)
         if self._replaced_connections:
             self._abort_replaced(now)
         if (
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/coordinator_order.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/coordinator_order.py
@@ -28,6 +28,8 @@
         self._own_position = config_role.get_position(own_address)
         self._members: list[tuple[bytes, str]] = []
         self._absent: set[str] = set()
+        self._known_peers: list[str] = []
+        self._sorted_addresses = [own_address]
         self.enabled = False
         self.coordinator = ""
 
@@ -72,13 +74,18 @@
 
         :param now: time of the event loop, in seconds.
         """
-        positions = [
-            (config_role.get_position(peer.address), peer.address)
-            for peer in peers.values()
-            if peer.connected and peer.handles_quotas and not peer.is_suspect(now)
+        known = list(peers)
+        if known != self._known_peers:
+            self._known_peers = known
+            self._sorted_addresses = sorted(
+                [*known, self._own_address],
+                key=lambda address: (config_role.get_position(address), address),
+            )
+        return [
+            address
+            for address in self._sorted_addresses
+            if address == self._own_address or _can_coordinate(peers[address], now)
         ]
-        positions.append((self._own_position, self._own_address))
-        return [address for _, address in sorted(positions)]
 
     def get_pinned(
         self, peers: Mapping[str, connections.Peer], unreachable: Collection[str]
@@ -96,3 +103,7 @@
             if reachable_count == PINNED_COUNT:
                 break
         return pinned
+
+
+def _can_coordinate(peer: connections.Peer, now: float) -> bool:
+    return peer.connected and peer.handles_quotas and not peer.is_suspect(now)
--- a/packages/catkintiller-relay/src/catkintiller_relay/quotas/coordinator_choice.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/quotas/coordinator_choice.py
@@ -9,6 +9,7 @@
 once, but grants it no lease before the former one has expired by this node's clock.
 """
 
+import itertools
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -122,9 +123,13 @@
         return contact.clock_ms
 
     def _choose(self, now: float) -> str:
-        reachable = [
-            each for each in self._candidates if not self._is_silent(each, now)
-        ]
+        # With this node among them, they contain the first two others.
+        reachable = list(
+            itertools.islice(
+                (each for each in self._candidates if not self._is_silent(each, now)),
+                CANDIDATE_COUNT + 1,
+            )
+        )
         # The own address may be missing only while there are no candidates at all.
         if not reachable:
             return self._own_address
