Keep the demand of a peer whose report has the same figures

Cause: each load report built the demand by service and rank anew, and the sum over all peers then compared all of its figures.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -50,7 +50,7 @@
     :ivar highest_rank_utilization: part of it that requests of rank 0 cause; None if
         it is not known.
     :ivar slot_demand: slots demanded at the peer, in thousandths, by service and rank;
-        replaced by each report, never changed.
+        replaced by each report with other figures, never changed.
     :ivar reported_at: time of the event loop of its last load report, in seconds.
     :ivar report_interval_s: time until its next load report, as it announced.
     :ivar sent_since_report: attempts sent to it since it last reported its load.
@@ -91,6 +91,8 @@
         self.announced_stop = False
         self.is_endpoint_open = False
         self.on_service_change: Callable[[], None] = lambda: None
+        self._demand_keys: list[tuple[str, int]] = []
+        self._demand_figures: list[int] = []
         self._left_endpoint: tuple[str, int] | None = None
         self._has_endpoint = False
         self._observer = observer
@@ -284,7 +286,11 @@
         highest_rank = report.highest_rank_utilization / frames.UTILIZATION_SCALE
         self.highest_rank_utilization = highest_rank if highest_rank >= 0.0 else None
         demand_keys = self.state.demand_keys if self.state is not None else []
-        self.slot_demand = dict(zip(demand_keys, report.slot_demand, strict=False))
+        figures = report.slot_demand
+        if demand_keys is not self._demand_keys or figures != self._demand_figures:
+            self._demand_keys = demand_keys
+            self._demand_figures = figures
+            self.slot_demand = dict(zip(demand_keys, figures, strict=False))
 
     def handle_invalid_message(self, why: str) -> None:
         """Reports a message that cannot be decoded; the connection is aborted."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections_test.py
@@ -115,6 +115,38 @@
         peer_set_test.run(check)
 
 
+class TestSlotDemand:
+    """Demand that is not built anew must still follow reports and states."""
+
+    def test_it_follows_figures_and_keys(self) -> None:
+        async def check() -> None:
+            peer, _ = await connect_peer()
+            state = build_node_state()
+            first = frames.LoadReport(0, 0, 0, 700, [], slot_demand=[5, 7])
+            keys = [("pay", 0), ("pay", 1)]
+            peer.handle_message(
+                msgspec.structs.replace(state, demand_keys=keys, load_report=first)
+            )
+            known = peer.slot_demand
+            assert known == {("pay", 0): 5, ("pay", 1): 7}
+            peer.handle_message(msgspec.structs.replace(first, slot_demand=[5, 7]))
+            assert peer.slot_demand is known
+            peer.handle_message(msgspec.structs.replace(first, slot_demand=[5, 8]))
+            assert peer.slot_demand == {("pay", 0): 5, ("pay", 1): 8}
+            assert known == {("pay", 0): 5, ("pay", 1): 7}
+            # The node has restarted and names the same figures in another order.
+            other = msgspec.structs.replace(first, slot_demand=[5, 8])
+            peer.handle_message(
+                msgspec.structs.replace(
+                    state, demand_keys=keys[::-1], load_report=other
+                )
+            )
+            assert peer.slot_demand == {("pay", 1): 5, ("pay", 0): 8}
+            peer.close()
+
+        peer_set_test.run(check)
+
+
 class TestSilence:
     """A long interval of reports must neither cause probes nor delay suspicion."""
 
