--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -20,9 +20,11 @@
 CONNECT_TIMEOUT_S = 1.0
 
 # Time without bytes from a peer after which it is probed: while requests run there, and
-# beyond the announced time of its next load report.
+# beyond the announced time of its next load report. Each round of reports begins a few
+# percent late, so the margin of a report that is many rounds away is larger.
 BUSY_PROBE_AFTER_S = 0.3
 IDLE_PROBE_MARGIN_S = 0.05
+IDLE_PROBE_MARGIN_RATIO = 0.1
 
 # Time without a reply to a probe after which a peer is suspect, and after which its
 # connection is replaced; time without bytes after which a replaced one is aborted.
@@ -48,7 +50,7 @@
     :ivar highest_rank_utilization: part of it that requests of rank 0 cause; None if
         it is not known.
     :ivar slot_demand: slots demanded at the peer, in thousandths, by service and rank;
-        replaced by each report, never changed.
+        replaced by each report with other figures, never changed.
     :ivar reported_at: time of the event loop of its last load report, in seconds.
     :ivar report_interval_s: time until its next load report, as it announced.
     :ivar sent_since_report: attempts sent to it since it last reported its load.
@@ -89,6 +91,8 @@
         self.announced_stop = False
         self.is_endpoint_open = False
         self.on_service_change: Callable[[], None] = lambda: None
+        self._demand_keys: list[tuple[str, int]] = []
+        self._demand_figures: list[int] = []
         self._left_endpoint: tuple[str, int] | None = None
         self._has_endpoint = False
         self._observer = observer
@@ -285,7 +289,11 @@
         highest_rank = report.highest_rank_utilization / frames.UTILIZATION_SCALE
         self.highest_rank_utilization = highest_rank if highest_rank >= 0.0 else None
         demand_keys = self.state.demand_keys if self.state is not None else []
-        self.slot_demand = dict(zip(demand_keys, report.slot_demand, strict=False))
+        figures = report.slot_demand
+        if demand_keys is not self._demand_keys or figures != self._demand_figures:
+            self._demand_keys = demand_keys
+            self._demand_figures = figures
+            self.slot_demand = dict(zip(demand_keys, figures, strict=False))
 
     def handle_invalid_message(self, why: str) -> None:
         """Reports a message that cannot be decoded; the connection is aborted."""
@@ -311,7 +319,12 @@
         """
         connection = self._connection
         if connection is not None:
-            self._check_responsiveness(connection, now)
+            probe_after_s = (
+                BUSY_PROBE_AFTER_S if connection.outstanding else self.report_interval_s
+            )
+            is_waiting = connection.probed_at is not None
+            if is_waiting or now - connection.last_received_at > probe_after_s:
+                self._check_responsiveness(connection, now)
         if self._replaced_connections:
             self._abort_replaced(now)
         if (
@@ -336,7 +349,10 @@
         self, connection: outgoing_connection.OutgoingConnection, now: float
     ) -> None:
         silence_s = now - connection.last_received_at
-        probe_after_s = self.report_interval_s + IDLE_PROBE_MARGIN_S
+        interval_s = self.report_interval_s
+        probe_after_s = interval_s + max(
+            IDLE_PROBE_MARGIN_S, IDLE_PROBE_MARGIN_RATIO * interval_s
+        )
         if connection.outstanding:
             probe_after_s = min(probe_after_s, BUSY_PROBE_AFTER_S)
         if silence_s > probe_after_s:
