--- a/packages/catkintiller-relay/src/catkintiller_relay/quotas/customer_account.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/quotas/customer_account.py
@@ -6,7 +6,6 @@
 from typing import NamedTuple
 
 from .. import data
-from . import waiting_tickets
 
 RATE_TIME_CONSTANT_S = 0.5
 MIN_RATE_PER_S = 0.05  # below this a customer counts as gone
@@ -37,7 +36,6 @@
     :param on_decision: called once with the ticket, unless it is cancelled before.
     :param created_at: time in seconds.
     :param wait_until: time until which it may wait, in seconds.
-    :param rank: rank of the request; 0 is the highest.
     :ivar expires_at: time until which its token may be refunded, in seconds.
     :ivar refusal: why it got no token; None if it got one or still waits.
     """
@@ -47,7 +45,6 @@
         "on_decision",
         "created_at",
         "wait_until",
-        "rank",
         "expires_at",
         "refusal",
     )
@@ -58,13 +55,11 @@
         on_decision: Callable[["Ticket"], None],
         created_at: float,
         wait_until: float,
-        rank: int = 0,
     ) -> None:
         self.customer_name = customer_name
         self.on_decision = on_decision
         self.created_at = created_at
         self.wait_until = wait_until
-        self.rank = rank
         self.expires_at = float("-inf")
         self.refusal: Refusal | None = None
 
@@ -90,7 +85,7 @@
 class CustomerAccount:
     """Tokens of one customer; all times are in seconds.
 
-    :ivar waiting: tickets that wait for a token.
+    :ivar waiting: tickets that wait for a token, in their order.
     :ivar shortage: last report that tokens are short.
     """
 
@@ -102,7 +97,7 @@
         self._rate_per_s = 0.0
         self._rate_updated_at = now
         self._is_serving = False
-        self.waiting = waiting_tickets.WaitingTickets()
+        self.waiting: dict[Ticket, None] = {}
         self.shortage: Shortage | None = None
 
     @property
@@ -175,7 +170,8 @@
                 expires_at = self.take(now)
                 if expires_at is None:
                     return
-                ticket = self.waiting.pop_first()
+                ticket = next(iter(self.waiting))
+                del self.waiting[ticket]
                 ticket.expires_at = expires_at
                 ticket.on_decision(ticket)
         finally:
@@ -184,7 +180,8 @@
     def release_waiting(self, now: float) -> None:
         """Lets all waiting tickets pass, since the customer has no quota any more."""
         while self.waiting:
-            ticket = self.waiting.pop_first()
+            ticket = next(iter(self.waiting))
+            del self.waiting[ticket]
             ticket.on_decision(ticket)
 
     def is_low(self, now: float) -> bool:
--- a/packages/catkintiller-relay/src/catkintiller_relay/quotas/quota_client.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/quotas/quota_client.py
@@ -102,22 +102,18 @@
         now: float,
         on_decision: Callable[[customer_account.Ticket], None],
         max_wait_s: float = MAX_WAIT_S,
-        rank: int = 0,
     ) -> customer_account.Ticket:
         """Acquires a token for a request.
 
         :param on_decision: called with the ticket, at once if a token is available;
             the ticket has a refusal if there is none in time.
         :param max_wait_s: longest time to wait, in seconds.
-        :param rank: rank of the request; waiting ones of higher rank come first.
         """
         account = self._get_account(customer.name, now)
         account.record_arrival()
         wait_until = now + min(max_wait_s, MAX_WAIT_S)
-        ticket = customer_account.Ticket(
-            customer.name, on_decision, now, wait_until, rank
-        )
-        account.waiting.add(ticket)
+        ticket = customer_account.Ticket(customer.name, on_decision, now, wait_until)
+        account.waiting[ticket] = None
         account.serve_waiting(now)
         if account.is_low(now):
             self._urgent.setdefault(customer.name, now)
@@ -128,7 +124,7 @@
         """Cancels a ticket that still waits."""
         account = self._accounts.get(ticket.customer_name)
         if account is not None:
-            account.waiting.discard(ticket)
+            account.waiting.pop(ticket, None)
 
     def refund(self, customer_name: str, now: float, expires_at: float) -> None:
         """Takes back the token of a request that has not run.
@@ -270,7 +266,7 @@
         for ticket in expired:
             # An earlier decision may have cancelled it.
             if ticket in account.waiting:
-                account.waiting.discard(ticket)
+                del account.waiting[ticket]
                 ticket.refusal = self._build_refusal(account, ticket, now)
                 ticket.on_decision(ticket)
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/quotas/quota_sync.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/quotas/quota_sync.py
@@ -129,11 +129,10 @@
         customer: data.Customer,
         on_decision: Callable[[customer_account.Ticket], None],
         max_wait_s: float,
-        rank: int,
     ) -> customer_account.Ticket:
         """Acquires a token, see :meth:`.quota_client.QuotaClient.acquire`."""
         now = read_clock()
-        ticket = self._client.acquire(customer, now, on_decision, max_wait_s, rank)
+        ticket = self._client.acquire(customer, now, on_decision, max_wait_s)
         self._schedule_tick()
         return ticket
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/head_checker_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/head_checker_test.py
@@ -61,7 +61,6 @@
         customer: data.Customer,
         on_decision: Callable[[FakeTicket], None],
         max_wait_s: float,
-        rank: int,
     ) -> FakeTicket:
         """Lets a request wait."""
         ticket = FakeTicket()
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/quota_gate.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/quota_gate.py
@@ -50,9 +50,7 @@
                 self._refuse(pending, ticket.refusal.reason)
 
         max_wait_s = pending.expires_at - EXPIRY_MARGIN_S - now
-        ticket = self._quotas.acquire(
-            customer, handle_decision, max_wait_s, pending.rank
-        )
+        ticket = self._quotas.acquire(customer, handle_decision, max_wait_s)
         # After a decision, its token may have been refunded already.
         if not is_decided:
             pending.quota_ticket = ticket
