--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/head_checker.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/head_checker.py
@@ -16,7 +16,6 @@
     call_graph,
     pending_request,
     quota_gate,
-    ranking,
     request_head,
     route_table,
     share_gate,
@@ -94,13 +93,11 @@
         self._admission = admission_control
         self._handler = handler
         self._route_table: route_table.RouteTable | None = None
-        self._ranking: ranking.Ranking | None = None
         self.quota_gate = quota_gate.QuotaGate(quotas, self._admit, handler.refuse)
 
     def set_config(self, config: data.Config) -> None:
         """Applies a config."""
         self._route_table = route_table.RouteTable(config)
-        self._ranking = ranking.Ranking(config)
         self._authenticator.set_config(config)
 
     def check(self, pending: pending_request.PendingRequest) -> None:
@@ -163,7 +160,9 @@
         route, parent = pending.route, identity.parent
         pending.customer = identity.customer
         pending.is_nested_call = identity.is_nested_call
-        pending.rank = self._ranking.get_rank(route, identity.customer)
+        pending.rank = route.rank
+        if identity.customer is not None and identity.customer.rank is not None:
+            pending.rank = identity.customer.rank
         self._graph.record_arrival(route.name, pending.service, parent)
         if parent is not None:
             pending.parent = parent
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_policy.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/retry_policy.py
@@ -9,7 +9,7 @@
 import enum
 
 from .. import data
-from . import call_graph, pending_request, ranking, retry_budget, retry_focus
+from . import call_graph, pending_request, retry_budget, retry_focus
 
 MIN_REMAINING_S = 0.05
 MAX_SEND_COUNT = 6
@@ -48,8 +48,10 @@
         self._highest_rank = 0
 
     def set_config(self, config: data.Config) -> None:
-        """Sets the highest rank that a config gives requests."""
-        self._highest_rank = ranking.Ranking(config).highest_rank
+        """Sets the highest rank, the lowest number, that a config gives requests."""
+        ranks = [route.rank for route in config.routes]
+        ranks += [each.rank for each in config.customers if each.rank is not None]
+        self._highest_rank = min(ranks, default=0)
 
     def record_first_attempt(
         self, pending: pending_request.PendingRequest, now: float
