--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
@@ -204,13 +204,13 @@
             [
                 (service, rank)
                 for service, shedder in self._shedders.items()
-                for rank in shedder.limited_ranks
+                for rank in shedder.admitted_shares
             ],
             elapsed_s,
         )
         for service, shedder in self._shedders.items():
             views = {}
-            for rank in shedder.limited_ranks:
+            for rank in shedder.admitted_shares:
                 view = table.get_view(service, rank, now)
                 if view is not None:
                     views[rank] = view
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/load_shedder.py
@@ -98,15 +98,6 @@
         """Admitted shares by rank, for the ranks that are limited."""
         return self._admitted_shares
 
-    @property
-    def limited_ranks(self) -> list[int]:
-        """Ranks whose demand is admitted in part, not only by a rounding error."""
-        return [
-            rank
-            for rank, share in self._admitted_shares.items()
-            if share <= 1.0 - MAX_ROUNDING_LOSS
-        ]
-
     @property
     def customer_shares(self) -> Mapping[int, CustomerShares]:
         """Admitted shares of the largest customers and of the others, by rank."""
@@ -218,7 +209,10 @@
             utilization < QUIET_UTILIZATION
             and total_slots < QUIET_UTILIZATION * slots
             and min(self._capacity_correction, self._highest_rank_correction) >= 1.0
-            and not self.limited_ranks
+            and all(
+                share > 1.0 - MAX_ROUNDING_LOSS
+                for share in self._admitted_shares.values()
+            )
         )
 
     def update_customer_shares(
