--- a/packages/catkintiller-relay/src/catkintiller_relay/quotas/coordinator_choice.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/quotas/coordinator_choice.py
@@ -123,7 +123,7 @@
         return contact.clock_ms
 
     def _choose(self, now: float) -> str:
-        # With this node among them, they contain the first two others.
+        # One more than the candidates, since this node may be among them.
         reachable = list(
             itertools.islice(
                 (each for each in self._candidates if not self._is_silent(each, now)),
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/endpoint_directory.py
@@ -236,7 +236,7 @@
             else:
                 total_slots = total_work = 0.0
                 ratios[service] = self._peers.get_sampled_ratio(service)
-            # The property costs more than the rest; most have no rate limit.
+            # Computed only for the few endpoints that have a rate limit.
             slots = state.concurrency_limit
             if state.rate_limit is not None:
                 slots = peer.usable_slots
