--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -141,6 +141,7 @@
         pending.is_receiving = False
         now = self._loop.time()
         if self.is_blocked(pending, now):
+            self._head_checker.withdraw(pending)
             self.refuse(pending, data.RefusalReason.BLOCKED)
             return
         self._dispatch(pending, now)
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder_test.py
@@ -7,7 +7,7 @@
 
 from .. import data, node_test
 from ..crashes import crash_history
-from ..ingress import http1
+from ..ingress import body_budget, http1, incoming_body
 from ..serving import attempts
 from ..telemetry import metrics
 from . import call_graph, endpoint_selection, forwarder
@@ -82,6 +82,13 @@
     def __init__(self) -> None:
         self.statuses: list[int] = []
 
+    def reserve_body(self) -> bool:
+        """Has room for each body."""
+        return True
+
+    def read_body(self) -> None:
+        """Does nothing: the test says when a body is complete."""
+
     def send_response(self, head: bytes, body: bytes) -> None:
         """Records a response of an endpoint."""
         self.statuses.append(int(head.split()[1]))
@@ -138,3 +145,31 @@
         loop.close()
         assert connection.statuses == [200]
         assert sender.pending_count == 0
+
+
+class TestBlockedBody:
+    """A request that crashes endpoints is recognized when its body is complete."""
+
+    def test_place_is_given_back(self) -> None:
+        """Blocked uploads used up the share of requests that could run."""
+        loop = asyncio.new_event_loop()
+        sender = build_forwarder(loop, FakeDirectory())
+        withdrawn = []
+        sender.admission.withdraw_request = lambda *place: withdrawn.append(place)
+        sender._history = types.SimpleNamespace(
+            is_empty=False,
+            get_standing=lambda *_: crash_history.Standing.BLOCKED,
+            get_remaining_block_s=lambda *_: 1.0,
+            get_crash_count=lambda *_: 1,
+        )
+        connection = FakeConnection()
+        request = http1.Request(b"POST", b"/root/x", [(b"host", b"a")])
+        request.head_received_at = loop.time()
+        request.incoming_body = incoming_body.IncomingBody(
+            body_budget.BodyBudget(9), 5, 9, expects_continue=False
+        )
+        sender.check_head(connection, request)
+        sender.handle_request(connection, request)
+        loop.close()
+        assert connection.statuses == [503]
+        assert len(withdrawn) == 1
