Calls for configs and for node records are watched by modules of their own

Cause: one class kept the calls' state of two unrelated loops. Change: config_watcher reads configs, store_watcher the node records, store_calls counts the calls and notices restores. No decision changes.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/config_sync.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/config_sync.py
@@ -5,7 +5,14 @@
 
 from .. import data
 from ..telemetry import events
-from . import config_age, config_role, frames, peer_set, store_watcher
+from . import (
+    config_age,
+    config_role,
+    config_watcher,
+    frames,
+    peer_set,
+    store_watcher,
+)
 
 # Time that a node that reads the store waits for a config that a peer already has, and
 # time that a peer has to send a config before another one is asked.
@@ -26,7 +33,8 @@
     def __init__(
         self,
         settings: data.Settings,
-        watcher: store_watcher.StoreWatcher,
+        watcher: config_watcher.ConfigWatcher,
+        records: store_watcher.StoreWatcher,
         peers: peer_set.PeerSet,
         rng: random.Random,
         log: events.EventLog,
@@ -35,7 +43,8 @@
         self._own_address = settings.inbound
         self._age = config_age.ConfigAge(settings.max_key_age_s)
         watcher.on_config_read = self._age.confirm
-        self._store_watcher = watcher
+        self._config_watcher = watcher
+        self._record_watcher = records
         self._peers = peers
         self._rng = rng
         self._log = log
@@ -60,7 +69,7 @@
         :param now: time of the event loop, in seconds.
         :param version: version of the config in force; 0 without one.
         """
-        if self._synchronized or not version or not self._store_watcher.nodes_listed:
+        if self._synchronized or not version or not self._record_watcher.nodes_listed:
             return
         if self._started_at is None:
             self._started_at = now
@@ -121,7 +130,7 @@
 
         :param now: time of the event loop, in seconds.
         """
-        previous = self._store_watcher.config_reading
+        previous = self._config_watcher.config_reading
         peers = [
             config_role.PeerReading(peer.address, peer.config_reading)
             for peer in self._peers.get_responsive_peers(now)
@@ -129,11 +138,13 @@
         reads = config_role.should_read_store(self._own_address, previous, peers)
         if reads is (previous is not data.ConfigReading.FROM_PEERS):
             return
-        self._store_watcher.set_config_reading(enabled=reads)
+        self._config_watcher.set_config_reading(enabled=reads)
         self._log.write(
             "config",
             "Reads configs from the store." if reads else "Gets configs from peers.",
             peers=len(peers),
+            readers=_count(peers, data.ConfigReading.FROM_STORE),
+            trying=_count(peers, data.ConfigReading.STORE_UNREACHABLE),
         )
         self._on_role_change()
 
@@ -151,7 +162,7 @@
         if self._newer_seen_at is None:
             self._newer_seen_at = now
         reads_store = (
-            self._store_watcher.config_reading is data.ConfigReading.FROM_STORE
+            self._config_watcher.config_reading is data.ConfigReading.FROM_STORE
         )
         may_read_soon = reads_store and self._synchronized
         delay_s = PEER_CONFIG_DELAY_S if may_read_soon else 0.0
@@ -174,3 +185,8 @@
         if readers:
             number = self._age.begin_request()
             self._rng.choice(readers).request_config(version, number)
+
+
+def _count(peers: list[config_role.PeerReading], reading: data.ConfigReading) -> int:
+    """Counts the peers that get their configs in one way."""
+    return sum(peer.reading is reading for peer in peers)
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -11,11 +11,13 @@
 from .membership import (
     config_loader,
     config_sync,
+    config_watcher,
     frames,
     node_state,
     peer_observer,
     peer_server,
     peer_set,
+    store_calls,
     store_watcher,
 )
 from .quotas import quota_sync
@@ -86,23 +88,34 @@
         self._tasks: list[asyncio.Task] = []
         self._failure: BaseException | None = None
         self.metrics = metrics.Metrics()
+        store = platform.create_store(settings.store, loop)
+        self._store_calls = store_calls.StoreCalls(store, log)
+        self._config_watcher = config_watcher.ConfigWatcher(
+            store,
+            settings,
+            self._rng,
+            self._store_calls,
+            self._configs.load_and_wait,
+            lambda: self._peers.has_connection,
+        )
         self._store_watcher = store_watcher.StoreWatcher(
-            platform.create_store(settings.store, loop),
+            store,
             settings,
             self._boot_id,
             log,
             self._rng,
-            self._configs.load_and_wait,
+            self._store_calls,
             self._handle_node_record,
             lambda: self._peers.has_connection,
             lambda: self._peers.is_first_of_service(CALL_GRAPH_KEEPER_COUNT),
-            self._broadcast_state,
         )
+        self._store_calls.add_restore_handler(self._broadcast_state)
         self._tracker = endpoint_tracker.EndpointTracker(
             settings.service, settings.heartbeat_s
         )
         self._config_sync = config_sync.ConfigSync(
             settings,
+            self._config_watcher,
             self._store_watcher,
             self._peers,
             self._rng,
@@ -240,7 +253,7 @@
         await self._readiness_server.listen(settings.readiness)
         await self._metrics_server.listen(settings.metrics)
         self._tasks = [
-            self._loop.create_task(self._store_watcher.watch_config()),
+            self._loop.create_task(self._config_watcher.run()),
             self._loop.create_task(self._store_watcher.watch_node_records()),
             self._loop.create_task(self._periodic_tasks.run()),
             self._loop.create_task(self._introduce_itself()),
@@ -265,7 +278,7 @@
         member = subsetting.Member(address, state.zone, state.service)
         self._peers.add_member(member)
         if state.restore_count:
-            self._store_watcher.handle_restore_count(state.restore_count)
+            self._store_calls.handle_restore_count(state.restore_count)
         if state.edges:
             self._edges.merge([call_graph.Edge(*edge) for edge in state.edges])
 
@@ -322,11 +335,11 @@
         """Builds the node state to send to peers."""
         return self._state_builder.build_state(
             self._config_version,
-            self._store_watcher.config_reading,
+            self._config_watcher.config_reading,
             self._edges.published,
             self._published_times.times,
             self._peer_server.report_interval_s,
-            self._store_watcher.restore_count,
+            self._store_calls.restore_count,
         )
 
     def build_load_report(self) -> frames.LoadReport:
@@ -361,9 +374,12 @@
         return gauges.GaugeValues(
             config.version if config is not None else None,
             now - self._config_applied_at,
+            self._config_watcher.config_reading,
+            self._config_watcher.get_call_s(now),
+            self._config_watcher.get_read_age_s(now),
             self._forwarder.pending_count,
             self._forwarder.get_remaining_retries(now),
-            self._store_watcher.store_calls,
+            self._store_calls.counts,
             history.suspect_count,
             history.block_count,
             self._quotas.is_coordinator if self._quotas.enabled else None,
--- a/packages/catkintiller-relay/src/catkintiller_relay/telemetry/gauges.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/telemetry/gauges.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from .. import data
 from ..membership import connections
 from ..serving import local_endpoint
 from . import metrics
@@ -13,6 +14,10 @@
 
     :param config_version: version of the config in force; None without one.
     :param config_age_s: time since it came into force, in seconds.
+    :param config_reading: whether the node reads configs from the store.
+    :param config_call_s: time that its call for configs has taken so far, in seconds.
+    :param config_read_age_s: time since its last successful read of configs began, in
+        seconds; None without one.
     :param pending_count: number of requests that have not been answered yet.
     :param remaining_retries: retries left in the retry budget, by service.
     :param store_calls: number of calls to the store, by kind and result.
@@ -27,6 +32,9 @@
 
     config_version: int | None
     config_age_s: float
+    config_reading: data.ConfigReading
+    config_call_s: float
+    config_read_age_s: float | None
     pending_count: int
     remaining_retries: Mapping[str, float]
     store_calls: Mapping[tuple[str, str], int]
@@ -51,6 +59,10 @@
     if values.config_version is not None:
         node_metrics.set_gauge("config_version", "", values.config_version)
         node_metrics.set_gauge("config_age_seconds", "", values.config_age_s)
+    node_metrics.set_gauge("config_reading", "", values.config_reading)
+    node_metrics.set_gauge("config_call_seconds", "", values.config_call_s)
+    if values.config_read_age_s is not None:
+        node_metrics.set_gauge("config_read_age_seconds", "", values.config_read_age_s)
     accepting_count = sum(peer.accepting for peer in peers)
     node_metrics.set_gauge("peers", 'state="accepting"', accepting_count)
     node_metrics.set_gauge("peers", 'state="other"', len(peers) - accepting_count)
