A config is in force in time after the store was silent: short reads beside the polls

Cause: only the end of a poll told a reader that the store had been silent, after 6.2 to 9.8 s. All readers begin their polls at the same change, and nodes that took the role over began a full poll on the silent store, so that for 5.3 s after its return no call was on its way that could be answered.

Change: beside its poll a reader reads the store with a short call whose time limit and interval are half of the bound on configs in the settings; it postpones this when another reader says that such a call succeeded (new message, protocol version 6), so that in a quiet deployment one node reads at a time. After a call that failed there are only short calls, each begun at most one interval after the last, until one succeeds. A poll that did not return what a later read did is dropped.

Ruled out: slow first reads, positions that are no longer there (410) and peers: the first read after the return had the newest version and all nodes had it 0.11 s later.

--- a/packages/catkintiller-relay/src/catkintiller_relay/data.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/data.py
@@ -180,6 +180,8 @@
     :param retry_window_s: window over which both bounds hold, in seconds.
     :param memory_mb: memory limit of the process, in megabytes.
     :param max_fds: limit of open file descriptors of the process.
+    :param config_bound_s: time from the acknowledgement of a config in which it has to
+        be in force, in seconds.
     :param revoke_s: time in which a withdrawn key stops being honoured, in seconds.
     :param strict_revoke: whether requests with keys are refused while this node cannot
         know which keys were withdrawn within that time.
@@ -204,6 +206,7 @@
     memory_mb: int
     max_fds: int
     store: StoreSettings
+    config_bound_s: float = 2.0
     revoke_s: float = 5.0
     strict_revoke: bool = False
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/interfaces.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/interfaces.py
@@ -6,6 +6,8 @@
 
 from . import data
 
+STORE_TIMEOUT_S = 2.0  # default time without any byte of a response
+
 
 class Store(abc.ABC):
     """Client of the platform's store."""
@@ -21,20 +23,26 @@
         """
 
     @abc.abstractmethod
-    async def read_config(self) -> data.StoreRecord | None:
+    async def read_config(
+        self, timeout_s: float = STORE_TIMEOUT_S
+    ) -> data.StoreRecord | None:
         """Reads the newest config.
 
+        :param timeout_s: time without any byte of the response after which the call
+            fails, in seconds.
         :returns: the config, or None if none has been written.
         :raises data.StoreError: if the store gives no usable response.
         """
 
     @abc.abstractmethod
     async def wait_for_config(
-        self, offset: int, wait_s: float
+        self, offset: int, wait_s: float, timeout_s: float = STORE_TIMEOUT_S
     ) -> data.StoreRecord | None:
         """Waits for a config that is written at ``offset`` or later.
 
-        :param wait_s: maximum time to wait, in seconds.
+        :param wait_s: maximum time to wait, in seconds; 0 to return at once.
+        :param timeout_s: time without any byte of the response after which the call
+            fails, beyond the time to wait, in seconds.
         :returns: the newest one, or None if none is written in that time.
         :raises data.OffsetCompactedError: if the offset is no longer available; the
             newest config must be read instead.
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/config_sync.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/config_sync.py
@@ -42,7 +42,6 @@
     ) -> None:
         self._own_address = settings.inbound
         self._age = config_age.ConfigAge(settings.max_key_age_s)
-        watcher.on_config_read = self._age.confirm
         self._config_watcher = watcher
         self._record_watcher = records
         self._peers = peers
@@ -107,6 +106,34 @@
         if version >= reply.version:
             self._age.handle_reply(reply.number, reply.age_ms)
 
+    def handle_peer_read(
+        self, message: frames.ConfigRead, now: float, version: int
+    ) -> None:
+        """Handles a peer's message that it has read the store.
+
+        It counts only if the config that the peer has is in force here.
+
+        :param now: time of the event loop, in seconds.
+        :param version: version of the config in force; 0 without one.
+        """
+        if version >= message.version and message.age_ms >= 0:
+            self._config_watcher.confirm_read(now - message.age_ms / 1000)
+
+    def handle_own_read(self, began_at: float, now: float, version: int) -> None:
+        """Tells the other readers about a successful read of this node.
+
+        :param began_at: time of :func:`.config_age.read_clock` at which it began, in
+            seconds.
+        :param now: time of the event loop, in seconds.
+        :param version: version of the config in force; 0 without one.
+        """
+        self._age.confirm(began_at)
+        age_ms = int((config_age.read_clock() - began_at) * 1000) + 1
+        message = frames.ConfigRead(version, age_ms)
+        for peer in self._peers.get_responsive_peers(now):
+            if peer.config_reading is not data.ConfigReading.FROM_PEERS:
+                peer.notify_config_read(message)
+
     def handle_config_applied(self) -> None:
         """Allows the next request at once, since the last one has succeeded."""
         self._requested_at = float("-inf")
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/config_watcher.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/config_watcher.py
@@ -1,8 +1,11 @@
-"""Watches the store for configs.
-
-Each call to the store is priced and limited in rate, and the number of nodes is not
-limited. A node therefore reads configs only while it has the role to, see
-:mod:`.config_role`, and waits longer after each failed call.
+"""Reads configs from the store while this node has the role to.
+
+A poll returns each new config at once. It says nothing while the store is silent, and
+what was under way then stays without a response. Short reads therefore go on beside the
+poll, see :mod:`.read_schedule`, and decide whether the store is reachable; after one
+that failed there are only short reads until one succeeds. Each call is priced and
+limited in rate, so a node waits longer after each failed one while its peers still
+read.
 """
 
 import asyncio
@@ -10,10 +13,13 @@
 from collections.abc import Awaitable, Callable
 
 from .. import data, interfaces
-from . import config_age, store_calls
+from . import config_age, read_schedule, store_calls
 
 # A store that was restored may leave a poll of the former store waiting.
 CONFIG_POLL_TIMEOUT_S = 6.0
+# Interval of the short reads over the bound within which a config has to be in force;
+# the rest is for the response and the way to the other nodes.
+READ_INTERVAL_RATIO = 0.5
 MIN_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.0
 MAX_BACKOFF_WITH_PEERS_S = 3.0
@@ -54,11 +60,14 @@
         if settings.max_key_age_s is not None:
             strict_wait_s = config_age.STORE_WAIT_RATIO * settings.max_key_age_s
             self._max_wait_s = min(CONFIG_POLL_TIMEOUT_S, strict_wait_s)
+        self._interval_s = READ_INTERVAL_RATIO * settings.config_bound_s
+        self._schedule = read_schedule.ReadSchedule(self._interval_s, rng)
+        self._backoff_s = MIN_BACKOFF_S
         self._is_store_reachable = False
+        self._offset = 0
         self._offset_is_valid = False
         self._poll: asyncio.Future[data.StoreRecord | None] | None = None
         self._call_began_at: float | None = None
-        self._read_began_at: float | None = None
         self._reading_enabled = asyncio.Event()
         self._reading_enabled.set()
         self.on_config_read: Callable[[float], None] = ignore_read
@@ -81,98 +90,166 @@
         return 0.0 if self._call_began_at is None else now - self._call_began_at
 
     def get_read_age_s(self, now: float) -> float | None:
-        """Returns the time since this node's last successful read began, in seconds.
+        """Returns the time since the last successful read began, here or at a peer.
 
         :param now: time of the event loop, in seconds.
-        :returns: None if no read has succeeded.
+        :returns: the time in seconds; None if no read has succeeded.
         """
-        return None if self._read_began_at is None else now - self._read_began_at
+        confirmed_at = self._schedule.confirmed_at
+        return None if confirmed_at == float("-inf") else now - confirmed_at
 
     def set_config_reading(self, *, enabled: bool) -> None:
-        """Starts or stops reading configs; a call in progress is not cancelled."""
+        """Starts or stops reading configs; a call in progress may still succeed."""
         if enabled:
             self._reading_enabled.set()
         else:
             self._reading_enabled.clear()
 
+    def confirm_read(self, began_at: float) -> None:
+        """Handles a successful read of a peer whose config is in force here.
+
+        :param began_at: time of the event loop at which it began, in seconds.
+        """
+        self._schedule.confirm(began_at)
+
     async def run(self) -> None:
         """Applies each new config, while reading is enabled, until cancelled."""
         loop = asyncio.get_running_loop()
-        delay_s = MIN_BACKOFF_S
-        offset = 0
-        wait_s = FIRST_POLL_DELAY_S
+        is_first = True
         while True:
             if not self._reading_enabled.is_set():
                 await self._reading_enabled.wait()
-                delay_s = MIN_BACKOFF_S
-            reads_newest = not self._offset_is_valid
-            began_at = config_age.read_clock()
-            called_at = self._call_began_at = loop.time()
+                self._backoff_s = MIN_BACKOFF_S
+            self._call_began_at = loop.time()
             try:
-                if reads_newest:
-                    self._offset_is_valid = True
-                    record = await self._store.read_config()
-                    offset = 0
+                if self._is_store_reachable and self._offset_is_valid:
+                    await self._follow()
                 else:
-                    record = await self._poll_config(offset)
-                if record is not None:
-                    offset = record.offset + 1
-                    await self._apply_config(record.value, "store")
-                self._calls.record_success(CALL_KIND)
-                self._call_began_at = None
-                self._read_began_at = called_at
-                self._is_store_reachable = True
-                if self._offset_is_valid:
-                    # Otherwise the store was restored during the read.
-                    self.on_config_read(began_at)
-                if not reads_newest:
-                    delay_s = MIN_BACKOFF_S
-                await asyncio.sleep(wait_s)
-                wait_s = 0.0
+                    await self._read()
             except data.OffsetCompactedError as error:
-                self._call_began_at = None
                 self._calls.counts[CALL_KIND, error.reason] += 1
                 self._calls.check_restore()
                 self._offset_is_valid = False
-                delay_s = await self._back_off(delay_s)
+                await self._back_off()
             except data.StoreError as error:
-                duration_s = loop.time() - called_at
-                self._call_began_at = None
+                duration_s = loop.time() - self._call_began_at
                 self._calls.record_failure(CALL_KIND, error, duration_s)
                 self._is_store_reachable = False
-                if reads_newest:
-                    self._offset_is_valid = False
-                delay_s = await self._back_off(delay_s)
+                await self._back_off()
+            else:
+                if is_first:
+                    await asyncio.sleep(FIRST_POLL_DELAY_S)
+                    is_first = False
 
-    def _handle_restore(self) -> None:
-        """Lets the newest config be read again.
+    async def _read(self) -> data.StoreRecord | None:
+        """Reads the newest config, or one that is newer than the last one.
 
-        Offsets of the former store are of no use in the restored one: records may lie
-        below them that were never read.
+        :raises data.StoreError: if the store gives no usable response in time.
         """
-        self._offset_is_valid = False
-        if self._poll is not None:
-            self._poll.cancel()
+        began_at = asyncio.get_running_loop().time()
+        self._schedule.begin_read(began_at)
+        clock_began_at = config_age.read_clock()
+        reads_newest = not self._offset_is_valid
+        if reads_newest:
+            self._offset_is_valid = True
+            try:
+                record = await self._store.read_config(self._interval_s)
+            except data.StoreError:
+                self._offset_is_valid = False
+                raise
+            self._offset = 0
+        else:
+            record = await self._store.wait_for_config(
+                self._offset, 0.0, self._interval_s
+            )
+            self._backoff_s = MIN_BACKOFF_S
+        await self._handle_record(record)
+        self._handle_success(began_at, clock_began_at)
+        return record
 
-    async def _poll_config(self, offset: int) -> data.StoreRecord | None:
-        """Waits for a config at an offset or later, unless the store was restored.
+    async def _follow(self) -> None:
+        """Polls the store once and reads it beside the poll when that is due.
 
-        :returns: the newest one, or None.
+        Returns when the poll has ended, or when a read returned what the poll should
+        have returned.
+
+        :raises data.StoreError: if the poll or a read fails.
         """
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        clock_began_at = config_age.read_clock()
         wait_s = self._max_wait_s * self._rng.uniform(0.7, 1.3)
-        self._poll = asyncio.ensure_future(self._store.wait_for_config(offset, wait_s))
+        self._poll = asyncio.ensure_future(
+            self._store.wait_for_config(self._offset, wait_s)
+        )
         try:
-            await asyncio.wait({self._poll})
-            return None if self._poll.cancelled() else self._poll.result()
+            while not await self._is_poll_done():
+                if not self._reading_enabled.is_set():
+                    return
+                if loop.time() >= self._schedule.due_at and await self._read():
+                    return
+            if self._poll.cancelled():
+                return
+            record = self._poll.result()
         finally:
+            self._end_poll()
+        await self._handle_record(record)
+        self._backoff_s = MIN_BACKOFF_S
+        # Without a new config the poll has waited until its time had passed.
+        self._handle_success(
+            began_at if record is not None else began_at + wait_s, clock_began_at
+        )
+
+    def _end_poll(self) -> None:
+        """Cancels the poll; its result is of no use any more."""
+        if not self._poll.cancel() and not self._poll.cancelled():
+            self._poll.exception()  # otherwise it counts as unhandled
+        self._poll = None
+
+    async def _is_poll_done(self) -> bool:
+        """Waits for the poll until the next read is due; returns whether it ended."""
+        remaining_s = self._schedule.due_at - asyncio.get_running_loop().time()
+        await asyncio.wait({self._poll}, timeout=max(0.0, remaining_s))
+        return self._poll.done()
+
+    async def _handle_record(self, record: data.StoreRecord | None) -> None:
+        if record is not None:
+            self._offset = record.offset + 1
+            await self._apply_config(record.value, "store")
+
+    def _handle_success(self, newest_at: float, clock_began_at: float) -> None:
+        """Handles a successful call.
+
+        :param newest_at: time of the event loop at which no config was newer than the
+            one in force, in seconds.
+        :param clock_began_at: time of :func:`.config_age.read_clock` at which the call
+            began, in seconds.
+        """
+        self._calls.record_success(CALL_KIND)
+        self._is_store_reachable = True
+        if self._offset_is_valid:
+            # Otherwise the store was restored during the call.
+            self._schedule.confirm(newest_at)
+            self.on_config_read(clock_began_at)
+
+    def _handle_restore(self) -> None:
+        """Lets the newest config be read again.
+
+        Offsets of the former store are of no use in the restored one: records may lie
+        below them that were never read.
+        """
+        self._offset_is_valid = False
+        if self._poll is not None:
             self._poll.cancel()
-            self._poll = None
 
-    async def _back_off(self, delay_s: float) -> float:
-        """Waits after a failed call and returns the delay after the next one.
+    async def _back_off(self) -> None:
+        """Waits after a failed call, longer after each one, but not beyond a due read.
 
         A node that has peers waits longer, since they send it configs.
         """
-        await asyncio.sleep(delay_s * self._rng.uniform(0.7, 1.3))
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + self._backoff_s * self._rng.uniform(0.7, 1.3)
         max_s = MAX_BACKOFF_WITH_PEERS_S if self._has_peers() else MAX_BACKOFF_S
-        return min(max_s, 2 * delay_s)
+        self._backoff_s = min(max_s, 2 * self._backoff_s)
+        while (wait_s := min(ends_at, self._schedule.due_at) - loop.time()) > 0.0:
+            await asyncio.sleep(wait_s)
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -136,6 +136,12 @@
         state = self.state
         return state is not None and state.protocol >= frames.BODY_CONNECTION_VERSION
 
+    @property
+    def handles_config_reads(self) -> bool:
+        """Whether the peer's version of the protocol has messages on reads."""
+        state = self.state
+        return state is not None and state.protocol >= frames.CONFIG_READ_VERSION
+
     @property
     def config_reading(self) -> data.ConfigReading:
         """How the peer gets its configs; from peers if it says something else."""
@@ -243,6 +249,11 @@
         if self.connected:
             self._connection.send(frames.ConfigRequest(version, number))
 
+    def notify_config_read(self, message: frames.ConfigRead) -> None:
+        """Tells the peer of a read if it is connected and knows such messages."""
+        if self.connected and self.handles_config_reads:
+            self._connection.send(message)
+
     def request_quota(self, request: frames.QuotaRequest) -> None:
         """Requests tokens if the peer is connected and knows such requests."""
         if self.connected and self.handles_quotas:
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
@@ -9,11 +9,12 @@
 
 from .. import data
 
-PROTOCOL_VERSION = 5
+PROTOCOL_VERSION = 6
 LOAD_REQUEST_VERSION = 3  # first protocol version with load requests
 CRASH_REPORT_VERSION = 4  # first protocol version with crash reports
 QUOTA_VERSION = 5  # first protocol version with quota requests
 BODY_CONNECTION_VERSION = 5  # first protocol version with body connections
+CONFIG_READ_VERSION = 6  # first protocol version that tells of reads of the store
 # A body from this size on goes over the second connection. It takes 1.3 ms at
 # 100 Mbit/s, so some tens of smaller ones delay a message by less than 50 ms.
 LARGE_BODY_BYTES = 16 * 1024
@@ -297,6 +298,19 @@
     connection_number: int
 
 
+class ConfigRead(msgspec.Struct, tag=15, array_like=True):
+    """Tells another reader that the sender has read the store successfully.
+
+    Nodes before :data:`CONFIG_READ_VERSION` do not know this message.
+
+    :param version: version of the config in force at the sender.
+    :param age_ms: time since the read began, in milliseconds.
+    """
+
+    version: int
+    age_ms: int
+
+
 Message = (
     Hello
     | NodeState
@@ -312,6 +326,7 @@
     | QuotaRequest
     | QuotaReply
     | BodyHello
+    | ConfigRead
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
@@ -187,6 +187,9 @@
     def handle_peer_removed(self, address: str) -> None:
         """Does nothing."""
 
+    def handle_config_read(self, message: frames.ConfigRead) -> None:
+        """Does nothing."""
+
     def handle_crash_report(self, message: frames.CrashReport) -> None:
         """Does nothing."""
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_observer.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_observer.py
@@ -26,6 +26,10 @@
     ) -> frames.ConfigReply | None:
         """Builds the reply to a request for the config; None if there is none."""
 
+    @abc.abstractmethod
+    def handle_config_read(self, message: frames.ConfigRead) -> None:
+        """Handles a peer's message that it has read the store."""
+
     @abc.abstractmethod
     def build_state(self) -> frames.NodeState:
         """Builds the node state to send to peers."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -110,6 +110,8 @@
                 self.send(self._server.observer.build_load_report())
             elif type(message) is frames.ConfigRequest:
                 self._send_config(message)
+            elif type(message) is frames.ConfigRead:
+                self._server.observer.handle_config_read(message)
             elif type(message) is frames.QuotaRequest:
                 self._handle_quota_request(message)
             elif type(message) is frames.BodyHello:
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/virtual_cluster_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/virtual_cluster_test.py
@@ -9,7 +9,6 @@
 from . import config_sync, config_watcher, frames, store_calls
 
 STORE_LATENCY_S = 0.004
-STORE_RESPONSE_TIMEOUT_S = 2.0
 PEER_LATENCY_S = 0.002
 TICK_S = 0.1
 PEERS_OF_A_NODE = 84
@@ -96,28 +95,40 @@
 
 
 class FakeStoreClient(interfaces.Store):
-    """Client of one node."""
+    """Client of one node.
+
+    :ivar is_cut: whether its calls get no response although the store is not silent.
+    """
 
     def __init__(self, store: FakeStore) -> None:
         self._store = store
+        self.is_cut = False
 
     @property
     def restore_count(self) -> int | None:
         """Tells nothing."""
         return None
 
-    async def read_config(self) -> data.StoreRecord | None:
+    async def read_config(
+        self, timeout_s: float = interfaces.STORE_TIMEOUT_S
+    ) -> data.StoreRecord | None:
         """Reads the newest config."""
-        await self._store.call(-1, 0.0, STORE_RESPONSE_TIMEOUT_S)
+        await self._call(-1, 0.0, timeout_s)
         return self._store.newest
 
     async def wait_for_config(
-        self, offset: int, wait_s: float
+        self, offset: int, wait_s: float, timeout_s: float = interfaces.STORE_TIMEOUT_S
     ) -> data.StoreRecord | None:
         """Waits for a config."""
-        await self._store.call(offset, wait_s, wait_s + STORE_RESPONSE_TIMEOUT_S)
+        await self._call(offset, wait_s, wait_s + timeout_s)
         return self._store.newest if self._store.end_offset > offset else None
 
+    async def _call(self, offset: int, wait_s: float, timeout_s: float) -> None:
+        if self.is_cut:
+            await asyncio.sleep(timeout_s)
+            raise data.StoreError("no answer in time")
+        await self._store.call(offset, wait_s, timeout_s)
+
     async def read_node_records(self) -> list[data.StoreRecord]:
         """Returns no records."""
         return []
@@ -160,6 +171,10 @@
         request = frames.ConfigRequest(version, number)
         self._viewer.cluster.deliver(self._node.handle_request, self._viewer, request)
 
+    def notify_config_read(self, message: frames.ConfigRead) -> None:
+        """Tells the node that the viewer has read the store."""
+        self._viewer.cluster.deliver(self._node.handle_config_read, message)
+
 
 class VirtualPeerSet:
     """The peers of a node."""
@@ -190,6 +205,7 @@
     """The part of a node that gets configs.
 
     :ivar version: version of the config in force; 0 without one.
+    :ivar client: its client of the store.
     :ivar published: the last state that has reached its peers.
     """
 
@@ -203,15 +219,16 @@
         self.peer_set = VirtualPeerSet()
         log = SilentLog()
         settings = build_settings(address)
-        client = FakeStoreClient(cluster.store)
+        self.client = FakeStoreClient(cluster.store)
         self.watcher = config_watcher.ConfigWatcher(
-            client,
+            self.client,
             settings,
             rng,
-            store_calls.StoreCalls(client, log),
+            store_calls.StoreCalls(self.client, log),
             self._apply,
             lambda: bool(self.peer_set.peers),
         )
+        self.watcher.on_config_read = self._handle_own_read
         self.sync = config_sync.ConfigSync(
             settings,
             self.watcher,
@@ -241,6 +258,14 @@
         """Replies to a request for the config."""
         self.cluster.deliver(sender.handle_reply, self.version)
 
+    def handle_config_read(self, message: frames.ConfigRead) -> None:
+        """Handles a message of a peer that has read the store."""
+        now = self.cluster.loop.time()
+        self.sync.handle_peer_read(message, now, self.version)
+
+    def _handle_own_read(self, began_at: float) -> None:
+        self.sync.handle_own_read(began_at, self.cluster.loop.time(), self.version)
+
     def handle_reply(self, version: int) -> None:
         """Puts the config of a peer in force."""
         self._put_in_force(version)
@@ -270,10 +295,10 @@
     """
 
     def __init__(self, node_count: int, seed: int) -> None:
-        self._loop = asyncio.get_running_loop()
+        self.loop = asyncio.get_running_loop()
         self._tasks: list[asyncio.Task] = []
         self.rng = random.Random(seed)
-        self.store = FakeStore(self._loop)
+        self.store = FakeStore(self.loop)
         self.nodes = [
             VirtualNode(self, f"10.0.{number // 200}.{number % 200}:8300", self.rng)
             for number in range(node_count)
@@ -285,6 +310,12 @@
                 peer.address: VirtualPeer(peer, node) for peer in peers
             }
 
+    @property
+    def readers(self) -> list[VirtualNode]:
+        """Nodes that read configs from the store and can reach it."""
+        reading = data.ConfigReading.FROM_STORE
+        return [node for node in self.nodes if node.watcher.config_reading is reading]
+
     async def start(self) -> None:
         """Writes the first config and starts all nodes."""
         await self.store.write(1)
@@ -292,7 +323,11 @@
 
     def deliver(self, handler: object, *arguments: object) -> None:
         """Calls a handler after the time that a message takes."""
-        self._loop.call_later(PEER_LATENCY_S, handler, *arguments)
+        self.loop.call_later(PEER_LATENCY_S, handler, *arguments)
+
+    def count_calls(self, begin: float, end: float) -> int:
+        """Counts the calls to the store between two times of the event loop."""
+        return sum(begin <= called_at < end for called_at in self.store.called_at)
 
     def count_outdated(self, version: int) -> int:
         """Counts the nodes where a version is not in force yet."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -122,6 +122,7 @@
             log,
             self._broadcast_state,
         )
+        self._config_watcher.on_config_read = self._handle_own_read
         self._graph = call_graph.CallGraph()
         self._edges = edge_sync.EdgeSync(self._graph, self._store_watcher, log)
         self._quotas = quota_sync.QuotaSync(
@@ -297,6 +298,15 @@
             self._configs.load(reply.raw, "peer")
         self._config_sync.handle_reply(reply, self._config_version)
 
+    def handle_config_read(self, message: frames.ConfigRead) -> None:
+        """Handles a peer's message that it has read the store."""
+        now = self._loop.time()
+        self._config_sync.handle_peer_read(message, now, self._config_version)
+
+    def _handle_own_read(self, began_at: float) -> None:
+        now = self._loop.time()
+        self._config_sync.handle_own_read(began_at, now, self._config_version)
+
     def handle_crash_report(self, message: frames.CrashReport) -> None:
         """Adds what a peer knows about crashes of endpoints."""
         self._crash_reporter.handle_report(message)
--- a/packages/catkintiller-relay/src/catkintiller_relay/node_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node_test.py
@@ -17,7 +17,9 @@
 class FailingStore(interfaces.Store):
     """A client of the store that raises an unexpected exception."""
 
-    async def read_config(self) -> data.StoreRecord | None:
+    async def read_config(
+        self, timeout_s: float = interfaces.STORE_TIMEOUT_S
+    ) -> data.StoreRecord | None:
         """Raises an exception that the node does not handle."""
         raise ZeroDivisionError("a fault in the client")
 
@@ -27,7 +29,7 @@
         return None
 
     async def wait_for_config(
-        self, offset: int, wait_s: float
+        self, offset: int, wait_s: float, timeout_s: float = interfaces.STORE_TIMEOUT_S
     ) -> data.StoreRecord | None:
         """Returns no config after the time has passed."""
         await asyncio.sleep(wait_s)
--- a/packages/catkintiller-relay/src/catkintiller_relay/store_connection.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/store_connection.py
@@ -8,6 +8,7 @@
 from . import data, sockets
 
 CONNECT_TIMEOUT_S = 1.0
+MAX_RECEIVE_S = 10.0  # from the time at which the first byte is due
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
 
@@ -32,6 +33,7 @@
         self._headers: dict[bytes, bytes] = {}
         self._body_chunks: list[bytes] = []
         self._received_bytes = 0
+        self._received_at = float("-inf")
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Stores the transport and enables TCP keepalive."""
@@ -44,6 +46,7 @@
             self.close()
             return
         self._received_bytes += len(received)
+        self._received_at = asyncio.get_running_loop().time()
         if self._received_bytes > MAX_RESPONSE_BYTES:
             self._fail("answer is too long")
             return
@@ -99,6 +102,35 @@
         self._transport.write(head.encode() + body)
         return self._pending
 
+    async def receive(
+        self,
+        pending: asyncio.Future[Response],
+        first_byte_by: float,
+        timeout_s: float,
+    ) -> Response:
+        """Waits for a response.
+
+        A large response may take longer than a silent store is waited for.
+
+        :param pending: future of the response.
+        :param first_byte_by: time of the event loop until which it has to begin, in
+            seconds.
+        :param timeout_s: time without any further byte of it, in seconds.
+        :raises TimeoutError: if it is not complete in time.
+        :raises data.StoreError: if it is unusable or the connection ends.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            while not pending.done():
+                ends_at = max(first_byte_by, self._received_at + timeout_s)
+                remaining_s = min(ends_at, first_byte_by + MAX_RECEIVE_S) - loop.time()
+                if remaining_s <= 0.0:
+                    raise TimeoutError
+                await asyncio.wait({pending}, timeout=remaining_s)
+            return pending.result()
+        finally:
+            pending.cancel()
+
     def close(self) -> None:
         """Aborts the connection."""
         if self._transport is not None:
@@ -112,16 +144,20 @@
 
 
 async def open_connection(
-    address: str, loop: asyncio.AbstractEventLoop
+    address: str, loop: asyncio.AbstractEventLoop, timeout_s: float
 ) -> StoreConnection:
     """Opens a connection to an address of the form ``HOST:PORT``.
 
+    :param timeout_s: time in which it has to be open, in seconds;
+        :data:`CONNECT_TIMEOUT_S` at most.
     :raises data.StoreError: if it cannot be opened in time.
     """
     host, _, port = address.rpartition(":")
     connecting = loop.create_connection(StoreConnection, host, int(port))
     try:
-        _, connection = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
+        _, connection = await asyncio.wait_for(
+            connecting, min(timeout_s, CONNECT_TIMEOUT_S)
+        )
     except TimeoutError:
         raise data.StoreError("no connection in time") from None
     except OSError as error:
