An odd node record no longer ends nodes

What callers saw: nothing here; operators of similar systems saw processes that end again and again after another writer had left one odd entry.

Cause: a record that has the form of a node record was used whatever its values. Ports out of range, calls that are not finite and numbers beyond 64 bits went on to peers, routing and the record that is written.

Change: parse_record checks all values; the rule for addresses stands once, in values.is_address, and takes IPv4 addresses with ASCII ports from 1 to 65535 only. The line names the key of the record. The operator's commands read records by the same function.

--- a/packages/catkintiller-operator/src/catkintiller_operator/deployment_queries.py
+++ b/packages/catkintiller-operator/src/catkintiller_operator/deployment_queries.py
@@ -4,9 +4,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-import msgspec
 from catkintiller_relay import data
-from catkintiller_relay.membership import store_watcher
+from catkintiller_relay.membership import node_record
 from catkintiller_relay.routing import call_graph
 
 from . import store_client
@@ -42,8 +41,8 @@
     records = []
     for stored in stored_records:
         try:
-            record = msgspec.msgpack.decode(stored.value, type=store_watcher.NodeRecord)
-        except msgspec.MsgspecError:
+            record = node_record.parse_record(stored.value)
+        except data.DecodeError:
             continue
         records.append(record)
     return Deployment(
--- a/packages/catkintiller-relay/src/catkintiller_relay/crashes/block_store.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/crashes/block_store.py
@@ -2,7 +2,7 @@
 
 import time
 
-from ..membership import store_watcher
+from ..membership import node_record, store_watcher
 from . import crash_history
 
 KEPT_AFTER_END_S = 3600.0  # a further crash then blocks for longer
@@ -32,7 +32,7 @@
         for block in blocks:
             ends_at_ms = int((now_s + block.remaining_s) * 1000)
             self._watcher.blocks.pop(block.fingerprint, None)
-            self._watcher.blocks[block.fingerprint] = store_watcher.StoredBlock(
+            self._watcher.blocks[block.fingerprint] = node_record.StoredBlock(
                 block.fingerprint, ends_at_ms, block.count
             )
         self._drop_ended(now_s)
@@ -43,9 +43,7 @@
         if self._watcher.blocks.pop(fingerprint, None) is not None:
             self._watcher.schedule_write()
 
-    def load(
-        self, now: float, record: store_watcher.NodeRecord, *, is_own: bool
-    ) -> None:
+    def load(self, now: float, record: node_record.NodeRecord, *, is_own: bool) -> None:
         """Loads the blocks in a node record.
 
         The clock may have been set since they were written, so a block never lasts
--- a/packages/catkintiller-relay/src/catkintiller_relay/crashes/block_store_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/crashes/block_store_test.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ..membership import store_watcher
+from ..membership import node_record
 from . import block_store, crash_history
 
 FINGERPRINT = b"request"
@@ -16,7 +16,7 @@
     """Counts the writes of this node's record."""
 
     def __init__(self) -> None:
-        self.blocks: dict[bytes, store_watcher.StoredBlock] = {}
+        self.blocks: dict[bytes, node_record.StoredBlock] = {}
         self.write_count = 0
 
     def schedule_write(self) -> None:
@@ -30,16 +30,16 @@
     return block_store.BlockStore(watcher, crash_history.CrashHistory()), watcher
 
 
-def build_record(*blocks: store_watcher.StoredBlock) -> store_watcher.NodeRecord:
+def build_record(*blocks: node_record.StoredBlock) -> node_record.NodeRecord:
     """Builds the record of a node."""
-    return store_watcher.NodeRecord("10.0.0.1:1", "z1", "pay", "b", blocks=blocks)
+    return node_record.NodeRecord("10.0.0.1:1", "z1", "pay", "b", blocks=blocks)
 
 
 def load(remaining_s: float, count: int = 1) -> crash_history.CrashHistory:
     """Loads a record with a block that has the given time left by the clock."""
     history = crash_history.CrashHistory()
     ends_at_ms = int((time.time() + remaining_s) * 1000)
-    block = store_watcher.StoredBlock(FINGERPRINT, ends_at_ms, count)
+    block = node_record.StoredBlock(FINGERPRINT, ends_at_ms, count)
     store = block_store.BlockStore(FakeWatcher(), history)
     store.load(0.0, build_record(block), is_own=False)
     return history
@@ -91,11 +91,11 @@
     """Nodes of the former version read the records of nodes without blocks."""
 
     def test_record_without_blocks_is_readable(self) -> None:
-        encoded = store_watcher.encode_record(build_record())
+        encoded = node_record.encode_record(build_record())
         decoded = msgspec.msgpack.decode(encoded, type=FormerNodeRecord)
         assert decoded.address == "10.0.0.1:1"
 
     def test_record_with_blocks_keeps_them(self) -> None:
-        record = build_record(store_watcher.StoredBlock(FINGERPRINT, 1, 2))
-        encoded = store_watcher.encode_record(record)
-        assert msgspec.msgpack.decode(encoded, type=store_watcher.NodeRecord) == record
+        record = build_record(node_record.StoredBlock(FINGERPRINT, 1, 2))
+        encoded = node_record.encode_record(record)
+        assert msgspec.msgpack.decode(encoded, type=node_record.NodeRecord) == record
--- a/packages/catkintiller-relay/src/catkintiller_relay/crashes/crash_history.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/crashes/crash_history.py
@@ -275,7 +275,8 @@
 
     :param count: how often it has been blocked, this time included.
     """
-    return BLOCK_DURATIONS_S[min(count, len(BLOCK_DURATIONS_S)) - 1]
+    last = len(BLOCK_DURATIONS_S)
+    return BLOCK_DURATIONS_S[max(1, min(count, last)) - 1]
 
 
 def put_newest(table: dict, key: bytes, value: object, max_count: int) -> None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_set.py
@@ -11,7 +11,7 @@
 import random
 from collections.abc import Collection, Mapping
 
-from .. import data
+from .. import data, values
 from ..routing import subsetting
 from . import (
     config_role,
@@ -151,7 +151,7 @@
         A member whose address is invalid is ignored.
         """
         address = member.address
-        if address == self._settings.inbound or not is_address(address):
+        if address == self._settings.inbound or not values.is_address(address):
             return
         known_service = self._services.get(address)
         if known_service == member.service or (known_service and not member.service):
@@ -354,12 +354,6 @@
         self._observer.handle_peer_removed(address)
 
 
-def is_address(text: str) -> bool:
-    """Returns whether a text has the form ``HOST:PORT``."""
-    host, _, port = text.rpartition(":")
-    return bool(host) and port.isdecimal() and 0 < int(port) < 65536
-
-
 def is_selected_by(
     caller: subsetting.Member,
     own: subsetting.Member,
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/store_watcher.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/store_watcher.py
@@ -9,14 +9,12 @@
 import contextlib
 import random
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple, TypeVar
-
-import msgspec
+from typing import TypeVar
 
 from .. import data, interfaces
 from ..routing import call_graph
 from ..telemetry import events
-from . import store_calls
+from . import node_record, store_calls
 
 MIN_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.0
@@ -35,43 +33,6 @@
 Result = TypeVar("Result")
 
 
-class StoredBlock(NamedTuple):
-    """A request that is not run because it crashed endpoints.
-
-    :param fingerprint: see :mod:`..crashes.fingerprint`.
-    :param ends_at_ms: Unix time at which it may run once more, in milliseconds.
-    :param count: how often it has been blocked.
-    """
-
-    fingerprint: bytes
-    ends_at_ms: int
-    count: int
-
-
-class NodeRecord(NamedTuple):
-    """Record that a node writes about itself into the store.
-
-    :param address: address where it accepts connections of other nodes.
-    :param service: service of its endpoint.
-    :param boot_id: identity of this start of its process.
-    :param edges: edges of the call graph that it counted; a node that starts reads
-        them here.
-    :param tombstones: instance IDs of endpoints that announced their departure to it,
-        with the Unix times of their starts in milliseconds.
-    :param blocks: requests that were blocked after a crash of its endpoint. Nodes of
-        former versions cannot read a record with this field, so it is left out while
-        it is empty.
-    """
-
-    address: str
-    zone: str
-    service: str
-    boot_id: str
-    edges: tuple[call_graph.Edge, ...] = ()
-    tombstones: tuple[tuple[str, int], ...] = ()
-    blocks: tuple[StoredBlock, ...] = ()
-
-
 class StoreWatcher:
     """Reads node records from the store, and writes this node's record.
 
@@ -97,7 +58,7 @@
         log: events.EventLog,
         rng: random.Random,
         calls: store_calls.StoreCalls,
-        handle_record: Callable[[str, NodeRecord], None],
+        handle_record: Callable[[str, node_record.NodeRecord], None],
         has_peers: Callable[[], bool],
         keeps_call_graph: Callable[[], bool],
     ) -> None:
@@ -117,7 +78,7 @@
         self.nodes_listed = False
         self.local_edges: tuple[call_graph.Edge, ...] = ()
         self.tombstones: dict[str, int] = {}
-        self.blocks: dict[bytes, StoredBlock] = {}
+        self.blocks: dict[bytes, node_record.StoredBlock] = {}
         calls.add_restore_handler(self._handle_restore)
 
     async def watch_node_records(self) -> None:
@@ -183,7 +144,7 @@
 
         :raises data.StoreError: if the record may not have been written.
         """
-        record = NodeRecord(
+        record = node_record.NodeRecord(
             self._settings.inbound,
             self._settings.zone,
             self._settings.service,
@@ -192,7 +153,9 @@
             self._get_newest_tombstones(),
             self._get_newest_blocks(),
         )
-        await self._store.write_node_record(self._settings.node, encode_record(record))
+        await self._store.write_node_record(
+            self._settings.node, node_record.encode_record(record)
+        )
         self._written_edges |= {edge[:3] for edge in record.edges}
         self._calls.check_restore()
 
@@ -234,10 +197,13 @@
             if not stored.value:
                 continue
             try:
-                record = msgspec.msgpack.decode(stored.value, type=NodeRecord)
-            except msgspec.MsgspecError as error:
+                record = node_record.parse_record(stored.value)
+            except data.DecodeError as error:
                 self._log.write(
-                    "peer", "Node record ignored: invalid format.", why=str(error)
+                    "peer",
+                    "Node record ignored: invalid format.",
+                    key=stored.key,
+                    why=str(error),
                 )
                 continue
             self._written_edges |= {tuple(edge[:3]) for edge in record.edges}
@@ -245,7 +211,7 @@
                 self._is_listed = self._is_complete(record)
             self._handle_record(stored.key, record)
 
-    def _is_complete(self, record: NodeRecord) -> bool:
+    def _is_complete(self, record: node_record.NodeRecord) -> bool:
         """Returns whether a record has this node's address, tombstones and blocks."""
         settings = self._settings
         return (record.address, record.zone, record.service) == (
@@ -260,15 +226,10 @@
     def _get_newest_tombstones(self) -> tuple[tuple[str, int], ...]:
         return tuple(self.tombstones.items())[-MAX_TOMBSTONE_COUNT:]
 
-    def _get_newest_blocks(self) -> tuple[StoredBlock, ...]:
+    def _get_newest_blocks(self) -> tuple[node_record.StoredBlock, ...]:
         return tuple(self.blocks.values())[-MAX_BLOCK_COUNT:]
 
     def _handle_restore(self) -> None:
         """Lets this node's record be written to the restored store."""
         self._written_edges.clear()
         self._write_due.set()
-
-
-def encode_record(record: NodeRecord) -> bytes:
-    """Encodes a node record, without its last field if that is empty."""
-    return msgspec.msgpack.encode(record if record.blocks else tuple(record)[:-1])
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -13,6 +13,7 @@
     config_sync,
     config_watcher,
     frames,
+    node_record,
     node_state,
     peer_observer,
     peer_server,
@@ -398,7 +399,7 @@
             self._body_budget.used_bytes,
         )
 
-    def _handle_node_record(self, key: str, record: store_watcher.NodeRecord) -> None:
+    def _handle_node_record(self, key: str, record: node_record.NodeRecord) -> None:
         self._edges.merge(list(record.edges))
         is_own = key == self._settings.node
         self._crash_reporter.block_store.load(self._loop.time(), record, is_own=is_own)
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/announcements.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/announcements.py
@@ -6,7 +6,7 @@
 
 from .. import data, interfaces
 from ..ingress import http1
-from ..membership import store_watcher
+from ..membership import node_record, store_watcher
 from ..telemetry import events
 from . import endpoint_tracker, local_endpoint
 
@@ -96,7 +96,7 @@
             return announcement
         return announcement._replace(start_ms=int(time.time() * 1000))
 
-    def restore_tombstones(self, record: store_watcher.NodeRecord) -> None:
+    def restore_tombstones(self, record: node_record.NodeRecord) -> None:
         """Restores the tombstones that this node wrote before it restarted."""
         for instance, start_ms in record.tombstones:
             if self._store_watcher.tombstones.get(instance, -1) < start_ms:
--- a/packages/catkintiller-relay/src/catkintiller_relay/values.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/values.py
@@ -1,10 +1,13 @@
 """Parses values that settings and configs give as text."""
 
+import ipaddress
 import math
 import re
 
 from . import data
 
+MAX_PORT = 65535
+_PORT_PATTERN = re.compile(r"[1-9][0-9]{0,4}")
 # Fifteen digits are far more than any time needs, and the number stays finite.
 _DURATION_PATTERN = re.compile(r"([0-9]{1,15}(?:\.[0-9]+)?)(ms|s)")
 
@@ -23,6 +26,19 @@
     return value / 1000 if match.group(2) == "ms" else value
 
 
+def is_address(text: str) -> bool:
+    """Returns whether a text has the form ``IP:PORT`` with a port that can be used.
+
+    Event loops take a port that is too large for another one, without an error.
+    """
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return _PORT_PATTERN.fullmatch(port) is not None and int(port) <= MAX_PORT
+
+
 def parse_number(text: str) -> float:
     """Parses a number.
 
