An odd announcement no longer takes the place of the endpoint beside a node

What callers saw: nothing here; operators of similar systems saw nodes that no longer followed their list of endpoints. Here an announcement with another instance and a newer start replaced the endpoint whatever its address; the real one counted as older from then on, so its node served nothing (0 of 5 requests, 5 of 5 before).

Cause: addresses were not looked at, and a start of any size was believed.

--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -49,6 +49,7 @@
 CALL_GRAPH_KEEPER_COUNT = 3
 
 DEFAULT_LIMITS = data.ClientLimits(16384, 64 * 1024 * 1024, 3.0, 15.0)
+ANNOUNCEMENT_LIMITS = DEFAULT_LIMITS._replace(max_body_bytes=64 * 1024)
 
 
 class Node(peer_observer.PeerObserver):
@@ -166,6 +167,7 @@
         )
         self._announcements = announcements.AnnouncementHandler(
             loop,
+            settings.ip,
             platform,
             self._tracker,
             self._local_endpoint,
@@ -201,6 +203,7 @@
         self._outbound_server.check_head = self._forwarder.check_head
         self._outbound_server.budget = self._body_budget
         self._admin_server = self._create_server(self._announcements.handle_request)
+        self._admin_server.limits = ANNOUNCEMENT_LIMITS
         pages = status_pages.StatusPages(
             platform,
             self.metrics,
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/announcements.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/announcements.py
@@ -11,11 +11,15 @@
 from . import endpoint_tracker, local_endpoint
 
 TOMBSTONE_WRITE_TIMEOUT_S = 0.4
+# The clock may have been set back since the endpoint's start.
+MAX_START_AHEAD_MS = 60_000
+UNKNOWN_START_MS = 0
 
 
 class AnnouncementHandler:
     """Applies announcements, records departures and acknowledges both.
 
+    :param ip: IP address of this VM; endpoints elsewhere are not beside this node.
     :param watcher: writes the tombstones of endpoints that leave.
     :param on_change: called when the endpoint or its state has changed.
     :param on_task_done: called when a task that writes a tombstone has ended.
@@ -24,6 +28,7 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
+        ip: str,
         platform: interfaces.Platform,
         tracker: endpoint_tracker.EndpointTracker,
         endpoint: local_endpoint.LocalEndpoint,
@@ -33,6 +38,7 @@
         on_task_done: Callable[[asyncio.Task], None],
     ) -> None:
         self._loop = loop
+        self._ip = ip
         self._platform = platform
         self._tracker = tracker
         self._local_endpoint = endpoint
@@ -50,16 +56,18 @@
         path = request.target.decode("latin-1")
         try:
             announcement = self._platform.parse_announcement(method, path, request.body)
+            if announcement is not None:
+                self._check_address(announcement)
         except data.DecodeError as error:
             self._log.write(
-                "announce", "Announcement ignored: invalid format.", why=str(error)
+                "announce", "Announcement ignored: it is not valid.", why=str(error)
             )
             connection.send_status(400)
             return
         if announcement is None:
             connection.send_status(404)
             return
-        announcement = self._complete_departure(announcement)
+        announcement = self._complete_departure(drop_impossible_start(announcement))
         previous = self._tracker.current
         accepted = self._tracker.apply(self._loop.time(), announcement)
         self._apply_change(previous, announcement, accepted)
@@ -68,6 +76,15 @@
             return
         acknowledge(connection)
 
+    def _check_address(self, announcement: data.Announcement) -> None:
+        """Checks that an endpoint runs on this VM; a departure names no address.
+
+        :raises data.DecodeError: if it does not.
+        """
+        host = announcement.address.rpartition(":")[0]
+        if announcement.state is not data.EndpointState.GONE and host != self._ip:
+            raise data.DecodeError(f"address {announcement.address!r} of another VM")
+
     def handle_leaving_response(self) -> None:
         """Handles a response that says that the endpoint is about to leave.
 
@@ -192,6 +209,13 @@
         self._on_change()
 
 
+def drop_impossible_start(announcement: data.Announcement) -> data.Announcement:
+    """Drops a start in the future, which would outlast all starts that follow."""
+    if announcement.start_ms <= time.time() * 1000 + MAX_START_AHEAD_MS:
+        return announcement
+    return announcement._replace(start_ms=UNKNOWN_START_MS)
+
+
 def acknowledge(connection: http1.ServerConnection) -> None:
     """Acknowledges an announcement."""
     connection.send_status(200, b"Content-Type: application/json\r\n", b"{}")
