A refusal that an endpoint sends once more is not taken for another request

What callers saw: nothing here; operators of similar systems saw 'not run, try again' for requests that an endpoint ran (REFUSED), and such requests at a second endpoint (TWICE).

Cause: a response that says that a request did not run counted without a request ID, also on a connection that had carried other requests before; the request that was waiting there was refused or sent elsewhere while the endpoint went on to run it. A copy with an ID was told apart only while its request was among the last eight of the connection, so a request that was sent again after more than those took the copy for its response.

Change: without an ID such a response counts only on a connection that has carried no other request; elsewhere the outcome is unknown and the connection is aborted. A connection keeps the IDs of the requests that were refused on it, does not carry these again, and is closed after 64 of them.

--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
@@ -6,7 +6,6 @@
 
 import abc
 import asyncio
-import collections
 from collections.abc import Callable
 
 import httptools
@@ -17,7 +16,8 @@
 
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 KEEP_ALIVE_MARGIN_S = 1.5
-REMEMBERED_REQUEST_COUNT = 8
+# Refusals after which a connection is not used again, since it remembers no more.
+MAX_REFUSALS = 64
 MAX_RESPONSE_BODY_BYTES = 32 * 1024 * 1024
 # A response up to this size is taken without room: its request has run.
 MAX_UNRESERVED_BODY_BYTES = 64 * 1024
@@ -154,9 +154,8 @@
 
     def __init__(self, owner: ConnectionOwner) -> None:
         self._owner = owner
-        self._carried_ids: collections.deque[bytes] = collections.deque(
-            maxlen=REMEMBERED_REQUEST_COUNT
-        )
+        self._refused_ids: set[bytes] = set()
+        self._carried_count = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
@@ -300,19 +299,19 @@
             return
         self._complete(reusable=self._parser.should_keep_alive())
 
-    def has_carried(self, request_id: bytes) -> bool:
-        """Returns whether the connection recently carried a request with this ID.
+    def has_refused(self, request_id: bytes) -> bool:
+        """Returns whether a request with this ID was refused on the connection.
 
-        A second copy of that request's response may still arrive on it.
+        A second copy of that refusal may still arrive on it.
         """
-        return request_id in self._carried_ids
+        return request_id in self._refused_ids
 
     def send(self, exchange: Exchange, now: float) -> None:
         """Sends a request on this idle connection.
 
         :param now: time of the event loop in seconds.
         """
-        self._carried_ids.append(exchange.request_id)
+        self._carried_count += 1
         self._exchange = exchange
         self._received_bytes = 0
         exchange.connection = self
@@ -383,11 +382,12 @@
     def _is_response_to(self, exchange: Exchange) -> bool:
         """Returns whether the response is for the exchange's request.
 
-        A response that says that the request did not run may lack the request ID.
+        A response that says that the request did not run may lack the request ID. On
+        a connection that has carried another request it may belong to that one.
         """
         request_id = self._values.get(self._owner.header_names.request_id)
         if request_id is None:
-            return self._is_not_run()
+            return self._is_not_run() and self._carried_count == 1
         return request_id == exchange.request_id
 
     def _complete(self, *, reusable: bool) -> None:
@@ -409,6 +409,8 @@
         exchange.connection = None
         body = b"".join(self._body_chunks)
         self._drop_body()
+        if self._is_not_run():
+            self._refused_ids.add(exchange.request_id)
         self._release_connection(headers, reusable)
         if self._is_not_run():
             reason = data.RefusalReason.ENDPOINT_REFUSED
@@ -435,11 +437,20 @@
         if self._was_cut_off:
             if self._transport is not None:
                 self._transport.abort()
-        elif reusable and self.idle_timeout_s > 0 and self.usable:
+        elif self._may_be_reused(reusable):
             self._owner.release(self)
         elif self._transport is not None:
             self._transport.close()
 
+    def _may_be_reused(self, reusable: bool) -> bool:
+        """Returns whether the connection may carry another request.
+
+        :param reusable: whether the last response allows it.
+        """
+        remembers_refusals = len(self._refused_ids) < MAX_REFUSALS
+        is_kept = reusable and self.idle_timeout_s > 0
+        return is_kept and remembers_refusals and self.usable
+
     def _drop_body(self) -> None:
         if not self._body_bytes:
             return
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client_test.py
@@ -52,10 +52,12 @@
     script: Script,
     request_count: int = 1,
     notices: list[response_notices.Notice] | None = None,
+    request_ids: list[bytes] | None = None,
 ) -> tuple[list[Completion], endpoint_pool.EndpointConnectionPool]:
     """Sends requests one after another to an endpoint that runs a script.
 
     :param notices: list to which the notices in the responses are appended.
+    :param request_ids: IDs of the requests; None for a number of different ones.
     """
 
     async def run() -> tuple[list[Completion], endpoint_pool.EndpointConnectionPool]:
@@ -66,9 +68,8 @@
             loop, f"127.0.0.1:{port}", HEADERS, build_budget()
         )
         completions = []
-        for number in range(request_count):
+        for request_id in request_ids or [b"id%d" % n for n in range(request_count)]:
             completed = loop.create_future()
-            request_id = b"id%d" % number
             message = b"GET / HTTP/1.1\r\nHost: a\r\nx-id: " + request_id + b"\r\n\r\n"
             pool.send(
                 endpoint_client.Exchange(
@@ -81,7 +82,7 @@
                 )
             )
             completions.append(await completed)
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(0.02 if request_ids is None else 0)
         server.close()
         return completions, pool
 
@@ -217,6 +218,21 @@
         assert [completion.body for completion in completions] == [b"hi"] * 3
         assert pool.stray_response_count == 2
 
+    def test_refusal_without_an_id_on_a_kept_connection_refuses_nothing(self) -> None:
+        refusal = b"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(OK_RESPONSE % await read_request(reader))
+            request_id = await read_request(reader)
+            writer.write(refusal)
+            writer.write(OK_RESPONSE % request_id)
+
+        completions, pool = send_requests(script, 2)
+        assert completions[1].outcome is data.Outcome.UNKNOWN
+        assert not pool.has_open_connection
+
     def test_bytes_on_an_idle_connection_close_it(self) -> None:
         completions, pool = send_requests(
             build_script(OK_RESPONSE, OK_RESPONSE, close=False), 2
@@ -273,6 +289,28 @@
     request; the copy has the right ID.
     """
 
+    def test_it_uses_no_connection_on_which_it_was_refused(self) -> None:
+        used_connections: dict[bytes, list[asyncio.StreamWriter]] = {}
+
+        async def refuse(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            head = b"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n"
+            while True:
+                try:
+                    request_id = await read_request(reader)
+                except asyncio.IncompleteReadError:
+                    return
+                used_connections.setdefault(request_id, []).append(writer)
+                writer.write(head + b"X-Id: " + request_id + b"\r\n\r\n")
+
+        for other_count in (1, 20, 200):
+            used_connections.clear()
+            ids = [b"id", *(b"other%d" % number for number in range(other_count))]
+            send_requests(refuse, request_ids=[*ids, b"id"])
+            first, second = used_connections[b"id"]
+            assert first is not second
+
     def test_late_copy_of_the_rejection_is_not_taken_for_the_response(self) -> None:
         rejection = b"HTTP/1.1 503 Full\r\nX-Id: id\r\nX-Not-Run: 1\r\n"
         rejection += b"Content-Length: 0\r\n\r\n"
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_pool.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_pool.py
@@ -75,7 +75,7 @@
     def _take_idle(
         self, request_id: bytes, now: float
     ) -> endpoint_client.EndpointConnection | None:
-        """Takes an idle connection that has not carried a request with this ID."""
+        """Takes an idle connection that has not refused a request with this ID."""
         passed_over = []
         taken = None
         while self._idle and taken is None:
@@ -84,7 +84,7 @@
                 continue
             if now - connection.idle_since >= connection.idle_timeout_s:
                 connection.abort()
-            elif connection.has_carried(request_id):
+            elif connection.has_refused(request_id):
                 passed_over.append(connection)
             else:
                 taken = connection
