An interim response at the end of a connection is not passed on as the answer

What callers saw: nothing here; operators of similar systems saw a 200 with an empty or short body, framed as whole, after an endpoint had stopped in the middle of a head.

Cause: after an interim response (103) its head still counted as complete, and it has no length, so that the end of the connection made it a complete answer with status 103.

Change: an interim response completes nothing. A head that is cut anywhere was reported as an unknown outcome before as well; a test now cuts it after each byte. An unused attribute of the connection is removed.

Result: test_end_of_the_connection_after_an_interim_response failed before (answered) and passes; test_head_that_is_cut_anywhere passed on the code before, too.

--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
@@ -171,7 +171,6 @@
         self._sends_body = False
         self._was_cut_off = False
         self._received_bytes = 0
-        self._in_message = False
         self._head_complete = False
         self.idle_since = 0.0
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
@@ -238,7 +237,6 @@
         self._values = {}
         self._reason_phrase = b""
         self._drop_body()
-        self._in_message = True
         self._head_complete = False
         if self._exchange is None:
             self.abort()
@@ -294,8 +292,8 @@
 
     def on_message_complete(self) -> None:
         """Completes the exchange unless the response is informational (1xx)."""
-        self._in_message = False
         if self._parser.get_status_code() < 200:
+            self._head_complete = False
             return
         self._complete(reusable=self._parser.should_keep_alive())
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client_test.py
@@ -178,6 +178,16 @@
     def test_empty_response(self) -> None:
         self.assert_outcome_unknown(b"")
 
+    def test_head_that_is_cut_anywhere(self) -> None:
+        response = OK_RESPONSE % b"id0"
+        for length in range(len(response)):
+            self.assert_outcome_unknown(response[:length])
+
+    def test_end_of_the_connection_after_an_interim_response(self) -> None:
+        interim = b"HTTP/1.1 103 Early Hints\r\nX-Id: %b\r\nX-Sign: s\r\n\r\n"
+        self.assert_outcome_unknown(interim)
+        self.assert_outcome_unknown(interim, b"HTTP/1.1 200 OK\r\nX-Id: %b\r\n")
+
     def test_not_http(self) -> None:
         self.assert_outcome_unknown(b"garbage\r\n\r\n")
 
