The interval of the short reads has limits, and a call under way ends in the gauges

Cause: a bound on configs of 0 s in the settings would have made a reader call the store without a pause, and one of hours would have made it wait for hours; config_call_seconds went on rising while a node did not read at all. Change: the interval is at least 0.2 s and at most the length of a poll, a call's time limit at most 2 s; the call is made and counted in a function of its own. Result: TestInterval; the tests of configs, restores and customers pass (57).

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/config_freshness_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/config_freshness_test.py
@@ -122,6 +122,21 @@
         assert after <= 2 * max_trying_count
 
 
+class TestInterval:
+    """The interval of the short reads follows from the bound in the settings."""
+
+    def test_it_is_half_of_the_bound(self) -> None:
+        assert config_watcher.compute_read_interval_s(CONFIG_BOUND_S) == READ_INTERVAL_S
+
+    @pytest.mark.parametrize("bound_s", [0.0, 0.001, 1e9])
+    def test_extreme_bounds_cause_neither_a_storm_nor_a_gap(
+        self, bound_s: float
+    ) -> None:
+        interval_s = config_watcher.compute_read_interval_s(bound_s)
+        assert config_watcher.MIN_READ_INTERVAL_S <= interval_s
+        assert interval_s <= config_watcher.CONFIG_POLL_TIMEOUT_S
+
+
 class TestSchedule:
     """The time of the next read, of one node."""
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/config_watcher.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/config_watcher.py
@@ -20,6 +20,7 @@
 # Interval of the short reads over the bound within which a config has to be in force;
 # the rest is for the response and the way to the other nodes.
 READ_INTERVAL_RATIO = 0.5
+MIN_READ_INTERVAL_S = 0.2
 MIN_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.0
 MAX_BACKOFF_WITH_PEERS_S = 3.0
@@ -31,6 +32,15 @@
     """Does nothing."""
 
 
+def compute_read_interval_s(config_bound_s: float) -> float:
+    """Computes the longest time between two short reads, in seconds.
+
+    :param config_bound_s: time in which a config has to be in force, in seconds.
+    """
+    interval_s = READ_INTERVAL_RATIO * config_bound_s
+    return min(max(interval_s, MIN_READ_INTERVAL_S), CONFIG_POLL_TIMEOUT_S)
+
+
 class ConfigWatcher:
     """Reads configs from the store.
 
@@ -60,8 +70,9 @@
         if settings.max_key_age_s is not None:
             strict_wait_s = config_age.STORE_WAIT_RATIO * settings.max_key_age_s
             self._max_wait_s = min(CONFIG_POLL_TIMEOUT_S, strict_wait_s)
-        self._interval_s = READ_INTERVAL_RATIO * settings.config_bound_s
-        self._schedule = read_schedule.ReadSchedule(self._interval_s, rng)
+        interval_s = compute_read_interval_s(settings.config_bound_s)
+        self._schedule = read_schedule.ReadSchedule(interval_s, rng)
+        self._read_timeout_s = min(interval_s, interfaces.STORE_TIMEOUT_S)
         self._backoff_s = MIN_BACKOFF_S
         self._is_store_reachable = False
         self._offset = 0
@@ -114,32 +125,42 @@
 
     async def run(self) -> None:
         """Applies each new config, while reading is enabled, until cancelled."""
-        loop = asyncio.get_running_loop()
         is_first = True
         while True:
             if not self._reading_enabled.is_set():
                 await self._reading_enabled.wait()
                 self._backoff_s = MIN_BACKOFF_S
-            self._call_began_at = loop.time()
-            try:
-                if self._is_store_reachable and self._offset_is_valid:
-                    await self._follow()
-                else:
-                    await self._read()
-            except data.OffsetCompactedError as error:
-                self._calls.counts[CALL_KIND, error.reason] += 1
-                self._calls.check_restore()
-                self._offset_is_valid = False
-                await self._back_off()
-            except data.StoreError as error:
-                duration_s = loop.time() - self._call_began_at
-                self._calls.record_failure(CALL_KIND, error, duration_s)
-                self._is_store_reachable = False
+            if not await self._call_store():
                 await self._back_off()
+            elif is_first:
+                is_first = False
+                await asyncio.sleep(FIRST_POLL_DELAY_S)
+
+    async def _call_store(self) -> bool:
+        """Reads the store once, or polls it if it can be reached.
+
+        :returns: whether that succeeded.
+        """
+        loop = asyncio.get_running_loop()
+        self._call_began_at = loop.time()
+        try:
+            if self._is_store_reachable and self._offset_is_valid:
+                await self._follow()
             else:
-                if is_first:
-                    await asyncio.sleep(FIRST_POLL_DELAY_S)
-                    is_first = False
+                await self._read()
+        except data.OffsetCompactedError as error:
+            self._calls.counts[CALL_KIND, error.reason] += 1
+            self._calls.check_restore()
+            self._offset_is_valid = False
+            return False
+        except data.StoreError as error:
+            duration_s = loop.time() - self._call_began_at
+            self._calls.record_failure(CALL_KIND, error, duration_s)
+            self._is_store_reachable = False
+            return False
+        finally:
+            self._call_began_at = None
+        return True
 
     async def _read(self) -> data.StoreRecord | None:
         """Reads the newest config, or one that is newer than the last one.
@@ -147,22 +168,24 @@
         :raises data.StoreError: if the store gives no usable response in time.
         """
         began_at = asyncio.get_running_loop().time()
+        poll_began_at, self._call_began_at = self._call_began_at, began_at
         self._schedule.begin_read(began_at)
         clock_began_at = config_age.read_clock()
         reads_newest = not self._offset_is_valid
         if reads_newest:
             self._offset_is_valid = True
             try:
-                record = await self._store.read_config(self._interval_s)
+                record = await self._store.read_config(self._read_timeout_s)
             except data.StoreError:
                 self._offset_is_valid = False
                 raise
             self._offset = 0
         else:
             record = await self._store.wait_for_config(
-                self._offset, 0.0, self._interval_s
+                self._offset, 0.0, self._read_timeout_s
             )
             self._backoff_s = MIN_BACKOFF_S
+        self._call_began_at = poll_began_at
         await self._handle_record(record)
         self._handle_success(began_at, clock_began_at)
         return record
