--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/config_sync.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/config_sync.py
@@ -1,5 +1,6 @@
 """Decides where this node gets its configs from, and gets them from peers."""
 
+import asyncio
 import random
 from collections.abc import Callable
 
@@ -7,6 +8,7 @@
 from ..telemetry import events
 from . import (
     config_age,
+    config_loader,
     config_role,
     config_watcher,
     frames,
@@ -27,12 +29,15 @@
 class ConfigSync:
     """Role of this node in reading configs, and its requests to peers.
 
+    :param configs: the config in force, and those that are being prepared.
     :param on_role_change: called when the node starts or stops reading the store.
     """
 
     def __init__(
         self,
+        loop: asyncio.AbstractEventLoop,
         settings: data.Settings,
+        configs: config_loader.ConfigLoader,
         watcher: config_watcher.ConfigWatcher,
         records: store_watcher.StoreWatcher,
         peers: peer_set.PeerSet,
@@ -40,9 +45,12 @@
         log: events.EventLog,
         on_role_change: Callable[[], None],
     ) -> None:
+        self._loop = loop
+        self._configs = configs
         self._own_address = settings.inbound
         self._age = config_age.ConfigAge(settings.max_key_age_s)
         self._config_watcher = watcher
+        watcher.on_config_read = self._handle_own_read
         self._record_watcher = records
         self._peers = peers
         self._rng = rng
@@ -62,12 +70,18 @@
         """
         return self._synchronized
 
-    def update_synchronized(self, now: float, version: int) -> None:
-        """Compares the config in force with those of the peers.
+    def tick(self, now: float) -> None:
+        """Requests a newer config and updates the role, if that is due.
 
         :param now: time of the event loop, in seconds.
-        :param version: version of the config in force; 0 without one.
         """
+        self._request_newer(now)
+        self._update_synchronized(now)
+        self._check_role(now)
+
+    def _update_synchronized(self, now: float) -> None:
+        """Compares the config in force with those of the peers."""
+        version = self._configs.version
         if self._synchronized or not version or not self._record_watcher.nodes_listed:
             return
         if self._started_at is None:
@@ -83,13 +97,9 @@
         """Whether keys that are in force here may be honoured."""
         return self._age.is_within_bound
 
-    def build_reply(
-        self, request: frames.ConfigRequest, config: data.Config | None
-    ) -> frames.ConfigReply | None:
-        """Builds the reply to a peer's request for the config.
-
-        :param config: config in force, if there is one.
-        """
+    def build_reply(self, request: frames.ConfigRequest) -> frames.ConfigReply | None:
+        """Builds the reply to a peer's request for the config; None without one."""
+        config = self._configs.config
         if config is None:
             return None
         raw = config.raw if config.version > request.version else b""
@@ -98,39 +108,32 @@
         age_ms = self._age.get_age_ms()
         return frames.ConfigReply(config.version, raw, request.number, age_ms)
 
-    def handle_reply(self, reply: frames.ConfigReply, version: int) -> None:
-        """Handles the age in the reply of a peer, after its config was applied.
-
-        :param version: version of the config in force; 0 without one.
-        """
-        if version >= reply.version:
+    def handle_reply(self, reply: frames.ConfigReply) -> None:
+        """Loads the config in the reply of a peer, and handles its age."""
+        if reply.raw:
+            self._configs.load(reply.raw, "peer")
+        if self._configs.version >= reply.version:
             self._age.handle_reply(reply.number, reply.age_ms)
 
-    def handle_peer_read(
-        self, message: frames.ConfigRead, now: float, version: int
-    ) -> None:
+    def handle_peer_read(self, message: frames.ConfigRead) -> None:
         """Handles a peer's message that it has read the store.
 
         It counts only if the config that the peer has is in force here.
-
-        :param now: time of the event loop, in seconds.
-        :param version: version of the config in force; 0 without one.
         """
-        if version >= message.version and message.age_ms >= 0:
-            self._config_watcher.confirm_read(now - message.age_ms / 1000)
+        if self._configs.version >= message.version and message.age_ms >= 0:
+            began_at = self._loop.time() - message.age_ms / 1000
+            self._config_watcher.confirm_read(began_at)
 
-    def handle_own_read(self, began_at: float, now: float, version: int) -> None:
+    def _handle_own_read(self, began_at: float) -> None:
         """Tells the other readers about a successful read of this node.
 
         :param began_at: time of :func:`.config_age.read_clock` at which it began, in
             seconds.
-        :param now: time of the event loop, in seconds.
-        :param version: version of the config in force; 0 without one.
         """
         self._age.confirm(began_at)
         age_ms = int((config_age.read_clock() - began_at) * 1000) + 1
-        message = frames.ConfigRead(version, age_ms)
-        for peer in self._peers.get_responsive_peers(now):
+        message = frames.ConfigRead(self._configs.version, age_ms)
+        for peer in self._peers.get_responsive_peers(self._loop.time()):
             if peer.config_reading is not data.ConfigReading.FROM_PEERS:
                 peer.notify_config_read(message)
 
@@ -138,25 +141,19 @@
         """Allows the next request at once, since the last one has succeeded."""
         self._requested_at = float("-inf")
 
-    def check_role(self, now: float) -> None:
-        """Updates the role now and then; the times are random, so nodes take turns.
-
-        :param now: time of the event loop, in seconds.
-        """
+    def _check_role(self, now: float) -> None:
+        """Updates the role now and then; the times are random, so nodes take turns."""
         is_due = self._next_role_check_at is not None and (
             now >= self._next_role_check_at
         )
         if is_due:
-            self.update_role(now)
+            self._update_role(now)
         if is_due or self._next_role_check_at is None:
             delay_s = ROLE_CHECK_INTERVAL_S * self._rng.uniform(0.5, 1.5)
             self._next_role_check_at = now + delay_s
 
-    def update_role(self, now: float) -> None:
-        """Starts or stops reading configs from the store, see :mod:`.config_role`.
-
-        :param now: time of the event loop, in seconds.
-        """
+    def _update_role(self, now: float) -> None:
+        """Starts or stops reading configs from the store, see :mod:`.config_role`."""
         previous = self._config_watcher.config_reading
         peers = [
             config_role.PeerReading(peer.address, peer.config_reading)
@@ -175,12 +172,9 @@
         )
         self._on_role_change()
 
-    def request_newer(self, now: float, version: int) -> None:
-        """Requests a config from one of the peers that have a newer one.
-
-        :param now: time of the event loop, in seconds.
-        :param version: version of the config in force; 0 without one.
-        """
+    def _request_newer(self, now: float) -> None:
+        """Requests a config from one of the peers that have a newer one."""
+        version = self._configs.newest_version
         self._request_age(now, version)
         peers = self._peers.get_peers_with_newer_config(now, version)
         if not peers:
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/config_watcher.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/config_watcher.py
@@ -206,7 +206,7 @@
             self._store.wait_for_config(self._offset, wait_s)
         )
         try:
-            while not await self._is_poll_done():
+            while not await self._wait_for_poll():
                 if not self._reading_enabled.is_set():
                     return
                 if loop.time() >= self._schedule.due_at and await self._read():
@@ -229,7 +229,7 @@
             self._poll.exception()  # otherwise it counts as unhandled
         self._poll = None
 
-    async def _is_poll_done(self) -> bool:
+    async def _wait_for_poll(self) -> bool:
         """Waits for the poll until the next read is due; returns whether it ended."""
         remaining_s = self._schedule.due_at - asyncio.get_running_loop().time()
         await asyncio.wait({self._poll}, timeout=max(0.0, remaining_s))
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/virtual_cluster_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/virtual_cluster_test.py
@@ -228,9 +228,10 @@
             self._apply,
             lambda: bool(self.peer_set.peers),
         )
-        self.watcher.on_config_read = self._handle_own_read
         self.sync = config_sync.ConfigSync(
+            cluster.loop,
             settings,
+            self,
             self.watcher,
             ListedNodes(),
             self.peer_set,
@@ -239,6 +240,11 @@
             self._publish,
         )
 
+    @property
+    def newest_version(self) -> int:
+        """Version of the config in force; none takes time to prepare."""
+        return self.version
+
     async def run(self) -> None:
         """Reads configs and exchanges them with the peers until cancelled."""
         loop = asyncio.get_running_loop()
@@ -246,10 +252,7 @@
             tasks.create_task(self.watcher.run())
             while True:
                 await asyncio.sleep(TICK_S)
-                now = loop.time()
-                self.sync.request_newer(now, self.version)
-                self.sync.update_synchronized(now, self.version)
-                self.sync.check_role(now)
+                self.sync.tick(loop.time())
                 self._publish()
 
     def handle_request(
@@ -260,11 +263,7 @@
 
     def handle_config_read(self, message: frames.ConfigRead) -> None:
         """Handles a message of a peer that has read the store."""
-        now = self.cluster.loop.time()
-        self.sync.handle_peer_read(message, now, self.version)
-
-    def _handle_own_read(self, began_at: float) -> None:
-        self.sync.handle_own_read(began_at, self.cluster.loop.time(), self.version)
+        self.sync.handle_peer_read(message)
 
     def handle_reply(self, version: int) -> None:
         """Puts the config of a peer in force."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -13,6 +13,7 @@
     config_sync,
     config_watcher,
     frames,
+    introduction,
     node_record,
     node_state,
     peer_observer,
@@ -116,7 +117,9 @@
             settings.service, settings.heartbeat_s
         )
         self._config_sync = config_sync.ConfigSync(
+            loop,
             settings,
+            self._configs,
             self._config_watcher,
             self._store_watcher,
             self._peers,
@@ -124,7 +127,6 @@
             log,
             self._broadcast_state,
         )
-        self._config_watcher.on_config_read = self._handle_own_read
         self._graph = call_graph.CallGraph()
         self._edges = edge_sync.EdgeSync(self._graph, self._store_watcher, log)
         self._quotas = quota_sync.QuotaSync(
@@ -199,6 +201,9 @@
         self._peer_server = peer_server.PeerServer(
             loop, self._local_endpoint, self, self._body_budget
         )
+        self._introduction = introduction.Introduction(
+            self._peers, self._peer_server, self._store_watcher, self._rng, log
+        )
         self._outbound_server = self._create_server(self._forwarder.handle_request)
         self._outbound_server.check_head = self._forwarder.check_head
         self._outbound_server.budget = self._body_budget
@@ -228,10 +233,6 @@
         self._periodic_tasks = periodic_tasks.PeriodicTasks(loop)
         self._add_periodic_tasks()
 
-    @property
-    def _config_version(self) -> int:
-        return self._configs.version
-
     @property
     def ready(self) -> bool:
         """Whether the node is ready for requests of clients."""
@@ -261,7 +262,7 @@
             self._loop.create_task(self._config_watcher.run()),
             self._loop.create_task(self._store_watcher.watch_node_records()),
             self._loop.create_task(self._periodic_tasks.run()),
-            self._loop.create_task(self._introduce_itself()),
+            self._loop.create_task(self._introduction.run()),
         ]
         for task in self._tasks:
             task.add_done_callback(self._handle_task_done)
@@ -298,18 +299,11 @@
 
     def handle_config(self, reply: frames.ConfigReply) -> None:
         """Applies a config that a peer sent."""
-        if reply.raw:
-            self._configs.load(reply.raw, "peer")
-        self._config_sync.handle_reply(reply, self._config_version)
+        self._config_sync.handle_reply(reply)
 
     def handle_config_read(self, message: frames.ConfigRead) -> None:
         """Handles a peer's message that it has read the store."""
-        now = self._loop.time()
-        self._config_sync.handle_peer_read(message, now, self._config_version)
-
-    def _handle_own_read(self, began_at: float) -> None:
-        now = self._loop.time()
-        self._config_sync.handle_own_read(began_at, now, self._config_version)
+        self._config_sync.handle_peer_read(message)
 
     def handle_crash_report(self, message: frames.CrashReport) -> None:
         """Adds what a peer knows about crashes of endpoints."""
@@ -343,12 +337,12 @@
         self, request: frames.ConfigRequest
     ) -> frames.ConfigReply | None:
         """Builds the reply to a peer's request for the config."""
-        return self._config_sync.build_reply(request, self._configs.config)
+        return self._config_sync.build_reply(request)
 
     def build_state(self) -> frames.NodeState:
         """Builds the node state to send to peers."""
         return self._state_builder.build_state(
-            self._config_version,
+            self._configs.version,
             self._config_watcher.config_reading,
             self._edges.published,
             self._published_times.times,
@@ -458,9 +452,7 @@
     def _check_peers(self, now: float, elapsed_s: float) -> None:
         self._peers.tick(now)
         self._quotas.update_members(now)
-        self._config_sync.request_newer(now, self._configs.newest_version)
-        self._config_sync.update_synchronized(now, self._config_version)
-        self._config_sync.check_role(now)
+        self._config_sync.tick(now)
 
     def _refresh_edges(self, now: float, elapsed_s: float) -> None:
         self._edges.refresh()
@@ -477,19 +469,6 @@
             self._log, self.metrics, self._endpoints.occupancy
         )
 
-    async def _introduce_itself(self) -> None:
-        """Introduces this node to the members that have not connected to it.
-
-        Most members that start at the same time connect during the delay.
-        """
-        while not self._store_watcher.nodes_listed:
-            await asyncio.sleep(peer_set.INTRODUCTION_DELAY_S)
-        delay_s = peer_set.INTRODUCTION_DELAY_S * self._rng.uniform(1.0, 2.0)
-        await asyncio.sleep(delay_s)
-        connected = self._peer_server.get_connected_addresses()
-        count = await self._peers.introduce(connected)
-        self._log.write("peer", "Introduced to members.", members=count)
-
     def _reload(self) -> None:
         try:
             self._settings = self._platform.load_settings()
