--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/config_role.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/config_role.py
@@ -56,6 +56,23 @@
     return len(preceding) < SUFFICIENT_READER_COUNT
 
 
+def is_first_to_try(own_address: str, peers: Iterable[PeerReading]) -> bool:
+    """Returns whether this node is among the first of those that try to read the store.
+
+    These must notice soon that the store is back. The others are there in case that it
+    refuses just the first ones, and may take longer.
+
+    :param peers: the responsive peers.
+    """
+    own_position = get_position(own_address)
+    preceding_count = sum(
+        peer.reading is data.ConfigReading.STORE_UNREACHABLE
+        and get_position(peer.address) < own_position
+        for peer in peers
+    )
+    return preceding_count < MIN_READER_COUNT
+
+
 @functools.lru_cache(maxsize=1024)
 def get_position(address: str) -> bytes:
     """Returns the position of a node in a random order on which all nodes agree."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/config_role_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/config_role_test.py
@@ -97,6 +97,32 @@
         assert deployment.count_readers_seen() >= config_role.MIN_READER_COUNT
 
 
+class TestFirstToTry:
+    """Few of the nodes that try to reach the store do so often."""
+
+    def test_number_of_the_first_does_not_grow_with_the_deployment(self) -> None:
+        for node_count in (3, 13, 84):
+            peers = [
+                config_role.PeerReading(f"10.0.0.{number}:8300", STORE_UNREACHABLE)
+                for number in range(node_count)
+            ]
+            firsts = [
+                peer.address
+                for peer in peers
+                if config_role.is_first_to_try(
+                    peer.address, [other for other in peers if other is not peer]
+                )
+            ]
+            assert len(firsts) == min(node_count, config_role.MIN_READER_COUNT)
+
+    def test_nodes_that_do_not_try_are_not_waited_for(self) -> None:
+        peers = [
+            config_role.PeerReading(f"10.0.0.{number}:8300", FROM_PEERS)
+            for number in range(84)
+        ]
+        assert config_role.is_first_to_try("10.0.1.1:8300", peers)
+
+
 class TestUnreachableStore:
     """Nodes that the store refuses do not go on trying while others read."""
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/config_sync.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/config_sync.py
@@ -51,6 +51,7 @@
         self._age = config_age.ConfigAge(settings.max_key_age_s)
         self._config_watcher = watcher
         watcher.on_config_read = self._handle_own_read
+        watcher.is_first_to_try = self._is_first_to_try
         self._record_watcher = records
         self._peers = peers
         self._rng = rng
@@ -155,10 +156,7 @@
     def _update_role(self, now: float) -> None:
         """Starts or stops reading configs from the store, see :mod:`.config_role`."""
         previous = self._config_watcher.config_reading
-        peers = [
-            config_role.PeerReading(peer.address, peer.config_reading)
-            for peer in self._peers.get_responsive_peers(now)
-        ]
+        peers = self._get_peer_readings(now)
         reads = config_role.should_read_store(self._own_address, previous, peers)
         if reads is (previous is not data.ConfigReading.FROM_PEERS):
             return
@@ -172,6 +170,16 @@
         )
         self._on_role_change()
 
+    def _is_first_to_try(self) -> bool:
+        peers = self._get_peer_readings(self._loop.time())
+        return config_role.is_first_to_try(self._own_address, peers)
+
+    def _get_peer_readings(self, now: float) -> list[config_role.PeerReading]:
+        return [
+            config_role.PeerReading(peer.address, peer.config_reading)
+            for peer in self._peers.get_responsive_peers(now)
+        ]
+
     def _request_newer(self, now: float) -> None:
         """Requests a config from one of the peers that have a newer one."""
         version = self._configs.newest_version
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/config_watcher.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/config_watcher.py
@@ -32,6 +32,11 @@
     """Does nothing."""
 
 
+def is_always_first() -> bool:
+    """Returns that no other node tries to read the store before this one."""
+    return True
+
+
 def compute_read_interval_s(config_bound_s: float) -> float:
     """Computes the longest time between two short reads, in seconds.
 
@@ -50,6 +55,8 @@
     :param has_peers: returns whether this node is connected to any peers.
     :ivar on_config_read: called after each successful read of the config with the time
         of :func:`.config_age.read_clock` at which it began, in seconds.
+    :ivar is_first_to_try: returns whether this node is among those that must notice
+        soon that the store is reachable again, see :mod:`.config_role`.
     """
 
     def __init__(
@@ -82,6 +89,7 @@
         self._reading_enabled = asyncio.Event()
         self._reading_enabled.set()
         self.on_config_read: Callable[[float], None] = ignore_read
+        self.is_first_to_try: Callable[[], bool] = is_always_first
         calls.add_restore_handler(self._handle_restore)
 
     @property
@@ -266,13 +274,18 @@
             self._poll.cancel()
 
     async def _back_off(self) -> None:
-        """Waits after a failed call, longer after each one, but not beyond a due read.
+        """Waits after a failed call, longer after each one.
 
-        A node that has peers waits longer, since they send it configs.
+        A node that has peers waits longer, since they send it configs. Those that are
+        the first to try do not wait beyond a due read.
         """
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + self._backoff_s * self._rng.uniform(0.7, 1.3)
         max_s = MAX_BACKOFF_WITH_PEERS_S if self._has_peers() else MAX_BACKOFF_S
         self._backoff_s = min(max_s, 2 * self._backoff_s)
-        while (wait_s := min(ends_at, self._schedule.due_at) - loop.time()) > 0.0:
+        while loop.time() < ends_at:
+            due_at = self._schedule.due_at if self.is_first_to_try() else ends_at
+            wait_s = min(ends_at, due_at) - loop.time()
+            if wait_s <= 0.0:
+                return
             await asyncio.sleep(wait_s)
