--- a/review/2/case.py
+++ b/review/2/case.py
@@ -178,4 +178,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(platform.run_case(str(FOLDER), play))
+    platform.run_case(str(FOLDER), play)
--- a/review/lab/platform.py
+++ b/review/lab/platform.py
@@ -7,8 +7,9 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from . import http, record
@@ -78,6 +79,7 @@
         self.ended_count = 0
         self.peak_kb = 0
         self.process: subprocess.Popen | None = None
+        self.store_ip = STORE_IP
         self._log = log
         self._path = os.path.join(folder, f"{ip}.json")
 
@@ -188,7 +190,7 @@
             "localApp": at(ports.app),
             "service": self.service,
             "platform": {
-                "address": f"{STORE_IP}:{ports.store}", "form": "log",
+                "address": f"{self.store_ip}:{ports.store}", "form": "log",
                 "writesPerS": 400, "readsPerS": 2000, "parts": 24, "append": "1ms",
                 "partMbS": 20.0, "readMbS": 80.0, "recordBytes": 262144,
                 "callBytes": 2097152, "keep": "300s", "partMb": 200,
@@ -231,9 +233,9 @@
 
 
 def run_case(
-    folder: str, play: Callable[[str, record.Record, bool], "asyncio.Future[int]"]
-) -> int:
-    """Plays a case; returns 1 if the rule was broken, 0 if it held, 2 without a result.
+    folder: str, play: Callable[[str, record.Record, bool], Awaitable[int]]
+) -> None:
+    """Plays a case; exits with 1 if the rule was broken, 0 if not, 2 without a result.
 
     :param play: coroutine that gets a temporary folder, the record and whether there
         is trouble.
@@ -249,4 +251,5 @@
             result = 2
     log.write(f"exit status {result}")
     log.close()
-    return result
+    sys.stdout.flush()
+    os._exit(result)  # the streams of the stand-ins need no orderly end
--- a/review/lab/store.py
+++ b/review/lab/store.py
@@ -17,19 +17,29 @@
 class Store:
     """The store; it answers each call after 4 ms.
 
+    :ivar names: addresses of nodes, and those at which other nodes are to reach them.
     :ivar is_silent: whether it is down: calls get no answer and have no effect.
     """
 
     def __init__(self) -> None:
         self.is_silent = False
         self.calls: dict[str, int] = {}
+        self.names: dict[str, str] = {}
         self._records: dict[str, list[tuple[str, bytes]]] = {}
         self._changed = asyncio.Event()
-        self._server: asyncio.Server | None = None
 
-    async def start(self, host: str, port: int) -> None:
-        """Starts to listen."""
-        self._server = await asyncio.start_server(self._serve, host, port)
+    async def start(self, host: str, port: int, reader_ip: str = "") -> None:
+        """Starts to listen.
+
+        :param reader_ip: node that reads here and is shown its own address unchanged.
+        """
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await self._serve(reader, writer, reader_ip)
+
+        await asyncio.start_server(serve, host, port)
 
     def put(self, topic: str, key: str, value: bytes) -> None:
         """Appends a record, as the operator does."""
@@ -42,7 +52,10 @@
         return dict(self._records.get(topic, []))
 
     async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        reader_ip: str,
     ) -> None:
         try:
             while (request := await http.read_message(reader)) is not None:
@@ -50,14 +63,14 @@
                     # Nothing is done and nothing is answered on this connection.
                     await reader.read()
                     return
-                writer.write(await self._answer(request))
+                writer.write(await self._answer(request, reader_ip))
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
             writer.close()
 
-    async def _answer(self, request: http.Message) -> bytes:
+    async def _answer(self, request: http.Message, reader_ip: str) -> bytes:
         await asyncio.sleep(ANSWER_S)
         method, target, _ = request.first_line.split()
         path, _, query_text = target.partition("?")
@@ -67,7 +80,7 @@
         if (method, path) == ("POST", "/log-append"):
             return self._append(topic, request.body)
         if (method, path) == ("GET", "/log-newest"):
-            return self._newest(topic, query.get("after"))
+            return self._newest(topic, query.get("after"), reader_ip)
         if (method, path) == ("GET", "/log-read"):
             wait_s = int(query.get("waitMs", "0")) / 1000
             return await self._read(topic, int(query["from"]), wait_s)
@@ -87,7 +100,7 @@
         end = len(self._records.get(topic, []))
         return respond(200, {"offset": first, "endOffset": end})
 
-    def _newest(self, topic: str, after: str | None) -> bytes:
+    def _newest(self, topic: str, after: str | None, reader_ip: str) -> bytes:
         records = self._records.get(topic, [])
         newest = {key: (offset, value) for offset, (key, value) in enumerate(records)}
         keys = sorted(key for key, (_, value) in newest.items() if value)
@@ -96,7 +109,7 @@
         items = [
             {
                 "key": key,
-                "value": base64.b64encode(newest[key][1]).decode(),
+                "value": base64.b64encode(self._show(newest[key][1], reader_ip)).decode(),
                 "offset": newest[key][0],
             }
             for key in keys[:MAX_PAGE_RECORDS]
@@ -105,6 +118,13 @@
         page = {"items": items, "hasMore": has_more, "endOffset": len(records)}
         return respond(200, page)
 
+    def _show(self, value: bytes, reader_ip: str) -> bytes:
+        """Returns a value with the addresses at which the reader reaches the nodes."""
+        for name, shown in self.names.items():
+            if name != reader_ip:
+                value = value.replace(f"{name}:".encode(), f"{shown}:".encode())
+        return value
+
     async def _read(self, topic: str, first: int, wait_s: float) -> bytes:
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + wait_s
