--- a/review/2/case.py
+++ b/review/2/case.py
@@ -54,7 +54,8 @@
 
     async def _request(self) -> None:
         self._count += 1
-        request_id = f"{self._node.ip}-{self._count}"
+        node_number = int(self._node.ip.rpartition(".")[2])
+        request_id = f"{node_number:04x}{self._count:012x}"
         self.sent_at[request_id] = self._log.now()
         self._log.write(f"sent {request_id}")
         result = "connection ended"
