--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,12 +1,9 @@
-"""A node forgets an endpoint's departure that it has acknowledged while the store is down.
-
-The endpoint says that it leaves and is acknowledged; the node is killed at once and
-starts again; a ping that the endpoint had sent before arrives late. The endpoint gets
-requests again and ends while it runs them.
-"""
+"""Clients that read large downloads slowly drive two nodes over their memory limit."""
 
 import asyncio
 import pathlib
+import signal
+import socket
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -15,79 +12,137 @@
 from lab import endpoint, http, platform, record, store  # noqa: E402
 
 HOST = "hulo84.example"
-SERVICE = "dispatch"
-PATH = "/puka111/"
-NODE_IPS = ("127.0.0.21", "127.0.0.22", "127.0.0.23")
+SERVICE = "closures"
+PATH = "/cufi502/"
+BODY_BYTES = 8 * 1024 * 1024
 DEADLINE_S = 6.0
-REQUESTS_PER_S = 30.0  # at each node
-DRAIN_S = 2.0
-STABLE_WINDOW_S = 3.0
-STORE_DOWN_S = 2.5
-PING_LATE_S = 3.5
-RESTART_DELAY_S = 0.5
-SERVES_ON_S = 7.5  # after the acknowledgement; then the endpoint ends
-WORK_S = 0.21
+MEMORY_MB = 300
+CLIENT_COUNT = 48  # at each node, as in a zone of the site; one request at a time
+READ_BYTES_PER_S = 64 * 1024  # of a client that reads slowly
+RECEIVE_BUFFER_BYTES = 16 * 1024
+LOAD_S = 45.0
+RESTART_DELAY_S = 1.0
+ENDS_FOR_FAULT = 3
+NODES_FOR_FAULT = 2
+NODE_IPS = ("127.0.0.11", "127.0.0.12")
+BODY = bytes(range(256)) * (BODY_BYTES // 256)
 
 
 class Clients:
-    """Clients on the machine of a node, with one kept connection each."""
+    """Clients on the machine of a node; each request has a connection of its own.
+
+    Each client sends its next request when the time limit of the one before has passed,
+    so that as many requests are sent whether or not the answers are read slowly.
+
+    :param reads_slowly: whether they read their answers slowly.
+    :ivar results: number of requests by result.
+    """
 
-    def __init__(self, node: platform.Node, log: record.Record) -> None:
+    def __init__(
+        self, node: platform.Node, log: record.Record, *, reads_slowly: bool
+    ) -> None:
         self._node = node
         self._log = log
-        self._count = 0
-        self.sent_at: dict[str, float] = {}
-        self.result_by_id: dict[str, str] = {}
-
-    async def run(self) -> None:
-        """Sends requests while the node is ready, until cancelled."""
-        tasks = set()
-        while True:
-            if not await self._node.is_ready():
-                await asyncio.sleep(0.2)
+        self._reads_slowly = reads_slowly
+        self._is_ready = True
+        self.results: dict[str, int] = {}
+
+    async def run(self, ends_at: float) -> None:
+        """Lets all clients send requests."""
+        tasks = [
+            asyncio.ensure_future(self._run_client(number, ends_at))
+            for number in range(CLIENT_COUNT)
+        ]
+        while self._log.now() < ends_at:
+            self._is_ready = await self._node.is_ready()
+            await asyncio.sleep(0.5)
+        for task in tasks:
+            task.cancel()
+
+    async def _run_client(self, number: int, ends_at: float) -> None:
+        await asyncio.sleep(DEADLINE_S * number / CLIENT_COUNT)
+        count = 0
+        while self._log.now() < ends_at:
+            if not self._is_ready:
+                await asyncio.sleep(0.1)
                 continue
-            for _ in range(int(REQUESTS_PER_S / 3)):
-                task = asyncio.ensure_future(self._request())
-                tasks.add(task)
-                task.add_done_callback(tasks.discard)
-                await asyncio.sleep(1 / REQUESTS_PER_S)
-
-    async def _request(self) -> None:
-        self._count += 1
-        node_number = int(self._node.ip.rpartition(".")[2])
-        request_id = f"{node_number:04x}{self._count:012x}"
-        self.sent_at[request_id] = self._log.now()
+            count += 1
+            pause = asyncio.ensure_future(asyncio.sleep(DEADLINE_S))
+            node_number = int(self._node.ip.rpartition(".")[2])
+            await self._request(f"{node_number:04x}{number:04x}{count:08x}")
+            await pause
+
+    async def _request(self, request_id: str) -> None:
         self._log.write(f"sent {request_id}")
-        result = "connection ended"
         try:
             async with asyncio.timeout(DEADLINE_S):
-                reader, writer = await asyncio.open_connection(
-                    self._node.ip, self._node.ports.outbound
-                )
-                try:
-                    headers = {
-                        "Host": HOST, "Request-Id": request_id,
-                        "Deadline-Ms": str(int(DEADLINE_S * 1000)),
-                    }
-                    line = f"POST {PATH}{self._count} HTTP/1.1"
-                    writer.write(http.build_message(line, headers))
-                    response = await http.read_message(reader)
-                    if response is not None:
-                        result = str(response.status)
-                finally:
-                    writer.close()
+                result = await self._exchange(request_id)
         except TimeoutError:
             result = "time limit of the client"
         except (OSError, asyncio.IncompleteReadError):
-            pass
-        self.result_by_id[request_id] = result
+            result = "connection ended"
+        self.results[result] = self.results.get(result, 0) + 1
         self._log.write(f"got {request_id}: {result}")
 
+    async def _exchange(self, request_id: str) -> str:
+        sock = socket.socket()
+        sock.setblocking(False)
+        if self._reads_slowly:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        address = (self._node.ip, self._node.ports.outbound)
+        try:
+            await asyncio.get_running_loop().sock_connect(sock, address)
+            reader, writer = await asyncio.open_connection(
+                sock=sock, limit=RECEIVE_BUFFER_BYTES
+            )
+        except BaseException:
+            sock.close()
+            raise
+        try:
+            headers = {
+                "Host": HOST, "Request-Id": request_id,
+                "Deadline-Ms": str(int(DEADLINE_S * 1000)),
+            }
+            line = f"GET {PATH}{request_id} HTTP/1.1"
+            writer.write(http.build_message(line, headers))
+            head = await reader.readuntil(b"\r\n\r\n")
+            status = int(head.split()[1])
+            if status != 200:
+                return str(status)
+            remaining = BODY_BYTES
+            while remaining:
+                limit = READ_BYTES_PER_S // 4 if self._reads_slowly else BODY_BYTES
+                chunk = await reader.read(min(remaining, limit))
+                if not chunk:
+                    return "answer ended early"
+                remaining -= len(chunk)
+                if self._reads_slowly:
+                    await asyncio.sleep(0.25)
+            return "200"
+        finally:
+            writer.transport.abort()
+
+
+async def limit_memory(node: platform.Node, log: record.Record) -> None:
+    """Ends a process that exceeds its memory, and starts it again, as the platform."""
+    while True:
+        await asyncio.sleep(0.02)
+        used_kb = node.read_memory_kb()
+        node.peak_kb = max(node.peak_kb, used_kb)
+        has_ended = node.process.poll() is not None
+        if used_kb > node.memory_mb * 1024 or has_ended:
+            node.ended_count += 1
+            why = "by itself" if has_ended else f"at {used_kb // 1024} MB"
+            log.write(f"node {node.ip} ended {why}, limit {node.memory_mb} MB")
+            node.kill()
+            await asyncio.sleep(RESTART_DELAY_S)
+            node.start()
+
 
 async def work(request: http.Message) -> bytes:
-    """Makes the answer to a request."""
-    await asyncio.sleep(WORK_S)
-    return b"x" * 1500
+    """Makes the answer: a large download after 130 ms."""
+    await asyncio.sleep(0.13)
+    return BODY
 
 
 async def play(folder: str, log: record.Record, has_trouble: bool) -> int:
@@ -95,87 +150,54 @@
     ports = platform.find_ports([platform.STORE_IP, *NODE_IPS])
     log_store = store.Store()
     rule = platform.build_rule(
-        "r-workorder", "unsafe", PATH, SERVICE, timeout="1200ms", latency="2000ms"
+        "r-closure", "download", PATH, SERVICE, timeout="6000ms", latency="1500ms"
     )
     log_store.put("keyed.op", "config", platform.build_config(7, HOST, [rule]))
     await log_store.start(platform.STORE_IP, ports.store)
     nodes = [
-        platform.Node(folder, ip, "lockside-a", SERVICE, ports, log) for ip in NODE_IPS
-    ]
-    endpoints = [
-        endpoint.Endpoint(
-            node.ip, ports.app, SERVICE, node.zone, f"i-7f3a91c{number}", 76, log, work
-        )
-        for number, node in enumerate(nodes)
+        platform.Node(folder, ip, "lockside-a", SERVICE, ports, log, MEMORY_MB)
+        for ip in NODE_IPS
     ]
-    loads = []
+    tasks = []
     try:
-        for node, server in zip(nodes, endpoints, strict=True):
+        for number, node in enumerate(nodes):
             node.start()
+            server = endpoint.Endpoint(
+                node.ip, ports.app, SERVICE, node.zone, f"i-7f3a91c{number}", 102, log,
+                work,
+            )
             await server.start(ports.admin, platform.HEARTBEAT_S)
         for node in nodes:
             await node.wait_ready()
-        await asyncio.sleep(3.0)
-        clients = [Clients(node, log) for node in nodes]
-        loads = [asyncio.ensure_future(each.run()) for each in clients]
-        await asyncio.sleep(3.0)
-
-        node, leaving = nodes[0], endpoints[0]
-        # A ping that the endpoint sends now and that arrives late.
-        late_ping = leaving.build_ping()
-        late_ping_at = log.now() + PING_LATE_S
-        log.write(f"a ping of {leaving.instance} is sent and delayed")
-        leaving.pings.cancel()
-        if has_trouble:
-            log.write("the store falls silent")
-            log_store.is_silent = True
-            store_up_at = log.now() + STORE_DOWN_S
-        await asyncio.sleep(0.2)
-        log.write(f"{leaving.instance} says that it leaves (DELETE)")
-        status = await leaving.deregister()
-        acknowledged_at = log.now()
-        log.write(f"{leaving.instance} is answered {status}")
-        if status != 200:
-            log.write("no acknowledgement: the case does not apply")
-            return 2
-        in_touch_from = 0.0
-        if has_trouble:
-            log.write(f"node {node.ip} is killed")
-            node.kill()
-            await asyncio.sleep(RESTART_DELAY_S)
-            node.start()
-            in_touch_from = log.now() + STABLE_WINDOW_S
-            await asyncio.sleep(store_up_at - log.now())
-            log_store.is_silent = False
-            log.write("the store is back")
-            in_touch_from = max(in_touch_from, log.now() + STABLE_WINDOW_S)
-        await asyncio.sleep(late_ping_at - log.now())
-        status = await leaving.call_node(late_ping)
-        log.write(f"the delayed ping arrives and is answered {status}")
-        await asyncio.sleep(acknowledged_at + SERVES_ON_S - log.now())
-        log.write(f"{leaving.instance} ends")
-        leaving.stop()
         await asyncio.sleep(2.0)
-    finally:
+        log.write("all nodes are ready; clients begin")
+        tasks = [asyncio.ensure_future(limit_memory(node, log)) for node in nodes]
+        groups = [Clients(node, log, reads_slowly=has_trouble) for node in nodes]
+        ends_at = log.now() + LOAD_S
+        loads = [asyncio.ensure_future(group.run(ends_at)) for group in groups]
+        while log.now() < ends_at and not is_fault(nodes):
+            await asyncio.sleep(0.2)
         for load in loads:
             load.cancel()
-        for each in nodes:
-            each.kill()
-
-    bound_at = max(acknowledged_at + DRAIN_S, in_touch_from)
-    sent_at = {key: at for each in clients for key, at in each.sent_at.items()}
-    late = [
-        run for run in leaving.runs
-        if run.began_at > acknowledged_at + DRAIN_S
-        and sent_at[run.request_id] > in_touch_from
-    ]
-    log.write(f"acknowledged at {acknowledged_at:.3f}, in touch from {in_touch_from:.3f}")
-    log.write(f"requests sent and run after {bound_at:.3f} at the endpoint: {len(late)}")
-    results = {key: each for group in clients for key, each in group.result_by_id.items()}
-    lost = [run for run in late if results.get(run.request_id) != "200"]
-    log.write(f"of these, run and lost with the end of the endpoint: {len(lost)}")
-    log.write(f"DRAIN is {'broken' if late else 'kept'}")
-    return 1 if late else 0
+        for node, group in zip(nodes, groups, strict=True):
+            log.write(
+                f"node {node.ip}: ended {node.ended_count} times, peak "
+                f"{node.peak_kb // 1024} MB, answers {group.results}"
+            )
+    finally:
+        for task in tasks:
+            task.cancel()
+        for node in nodes:
+            node.kill()
+    is_broken = is_fault(nodes)
+    log.write(f"Fault is {'broken' if is_broken else 'kept'}")
+    return 1 if is_broken else 0
+
+
+def is_fault(nodes: list[platform.Node]) -> bool:
+    """Returns whether processes ended by themselves as often as the rule says."""
+    failing = [node for node in nodes if node.ended_count >= ENDS_FOR_FAULT]
+    return len(failing) >= NODES_FOR_FAULT
 
 
 if __name__ == "__main__":
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,8 +1,8 @@
-"""One connection between two nodes falls silent; uploads are never passed on again.
+"""A node forgets an endpoint's departure that it has acknowledged while the store is down.
 
-Nodes send large bodies to each other on a second connection. When that one falls silent
-for good and all others go on, nobody notices: each further upload waits on it until its
-timeout.
+The endpoint says that it leaves and is acknowledged; the node is killed at once and
+starts again; a ping that the endpoint had sent before arrives late. The endpoint gets
+requests again and ends while it runs them.
 """
 
 import asyncio
@@ -12,179 +12,170 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from lab import endpoint, http, net, platform, record, store  # noqa: E402
+from lab import endpoint, http, platform, record, store  # noqa: E402
 
 HOST = "hulo84.example"
-UPLOAD_PATH = "/scan770/"
-FILE_PATH = "/puka111/"
-CLIENT_IP, SCAN_IP, REGISTRY_IP = "127.0.0.51", "127.0.0.52", "127.0.0.53"
-SERVICE_BY_IP = {CLIENT_IP: "intake", SCAN_IP: "scanroom", REGISTRY_IP: "registry"}
-SHOWN = {ip: ip.replace(".5", ".6") for ip in SERVICE_BY_IP}
-STORES = {ip: ip.replace(".5", ".7") for ip in SERVICE_BY_IP}
-UPLOAD_BYTES = 60_000
-UPLOAD_LIMIT_S = 4.047
-FILE_LIMIT_S = 2.52
-UPLOADS_PER_S = 5.0
-FILES_PER_S = 5.0
-CALM_S = 6.0
+SERVICE = "dispatch"
+PATH = "/puka111/"
+NODE_IPS = ("127.0.0.21", "127.0.0.22", "127.0.0.23")
+DEADLINE_S = 6.0
+REQUESTS_PER_S = 30.0  # at each node
+DRAIN_S = 2.0
 STABLE_WINDOW_S = 3.0
-JUDGED_S = 40.0
-STARVED_RATIO = 0.25
-
-
-class Requests:
-    """Requests of one kind: how many were sent, and how many were served."""
-
-    def __init__(self) -> None:
-        self.results: list[tuple[float, str]] = []
-
-    def get_ratio(self, from_s: float) -> float:
-        """Returns the part of the requests sent since a time that were served."""
-        results = [result for sent_at, result in self.results if sent_at >= from_s]
-        return sum(result == "200" for result in results) / max(1, len(results))
-
-    def count(self, from_s: float) -> dict[str, int]:
-        """Returns how many requests sent since a time had each result."""
-        counts: dict[str, int] = {}
-        for sent_at, result in self.results:
-            if sent_at >= from_s:
-                counts[result] = counts.get(result, 0) + 1
-        return counts
-
-
-async def send(
-    log: record.Record, ports: platform.Ports, requests: Requests, request_id: str,
-    path: str, body: bytes, limit_s: float,
-) -> None:
-    """Sends a request on a connection of its own."""
-    sent_at = log.now()
-    log.write(f"sent {request_id}")
-    result = "connection ended"
-    try:
-        async with asyncio.timeout(limit_s):
-            reader, writer = await asyncio.open_connection(CLIENT_IP, ports.outbound)
-            try:
-                headers = {
-                    "Host": HOST, "Request-Id": request_id,
-                    "Deadline-Ms": str(int(limit_s * 1000)),
-                }
-                line = f"POST {path}{request_id} HTTP/1.1"
-                writer.write(http.build_message(line, headers, body))
-                response = await http.read_message(reader)
-                if response is not None:
-                    result = str(response.status)
-            finally:
-                writer.close()
-    except TimeoutError:
-        result = "time limit of the client"
-    except (OSError, asyncio.IncompleteReadError):
-        pass
-    requests.results.append((sent_at, result))
-    log.write(f"got {request_id}: {result}")
-
-
-async def send_regularly(
-    log: record.Record, ports: platform.Ports, requests: Requests, name: str,
-    path: str, body: bytes, limit_s: float, per_s: float,
-) -> None:
-    """Sends requests of one kind until cancelled."""
-    tasks = set()
-    count = 0
-    while True:
-        count += 1
-        task = asyncio.ensure_future(
-            send(log, ports, requests, f"{name}{count}", path, body, limit_s)
-        )
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
-        await asyncio.sleep(1 / per_s)
+STORE_DOWN_S = 2.5
+PING_LATE_S = 3.5
+RESTART_DELAY_S = 0.5
+SERVES_ON_S = 7.5  # after the acknowledgement; then the endpoint ends
+WORK_S = 0.21
+
+
+class Clients:
+    """Clients on the machine of a node, with one kept connection each."""
+
+    def __init__(self, node: platform.Node, log: record.Record) -> None:
+        self._node = node
+        self._log = log
+        self._count = 0
+        self.sent_at: dict[str, float] = {}
+        self.result_by_id: dict[str, str] = {}
+
+    async def run(self) -> None:
+        """Sends requests while the node is ready, until cancelled."""
+        tasks = set()
+        while True:
+            if not await self._node.is_ready():
+                await asyncio.sleep(0.2)
+                continue
+            for _ in range(int(REQUESTS_PER_S / 3)):
+                task = asyncio.ensure_future(self._request())
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+                await asyncio.sleep(1 / REQUESTS_PER_S)
+
+    async def _request(self) -> None:
+        self._count += 1
+        node_number = int(self._node.ip.rpartition(".")[2])
+        request_id = f"{node_number:04x}{self._count:012x}"
+        self.sent_at[request_id] = self._log.now()
+        self._log.write(f"sent {request_id}")
+        result = "connection ended"
+        try:
+            async with asyncio.timeout(DEADLINE_S):
+                reader, writer = await asyncio.open_connection(
+                    self._node.ip, self._node.ports.outbound
+                )
+                try:
+                    headers = {
+                        "Host": HOST, "Request-Id": request_id,
+                        "Deadline-Ms": str(int(DEADLINE_S * 1000)),
+                    }
+                    line = f"POST {PATH}{self._count} HTTP/1.1"
+                    writer.write(http.build_message(line, headers))
+                    response = await http.read_message(reader)
+                    if response is not None:
+                        result = str(response.status)
+                finally:
+                    writer.close()
+        except TimeoutError:
+            result = "time limit of the client"
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        self.result_by_id[request_id] = result
+        self._log.write(f"got {request_id}: {result}")
 
 
 async def work(request: http.Message) -> bytes:
-    """Runs a request."""
-    await asyncio.sleep(0.16)
-    return b"done"
+    """Makes the answer to a request."""
+    await asyncio.sleep(WORK_S)
+    return b"x" * 1500
 
 
 async def play(folder: str, log: record.Record, has_trouble: bool) -> int:
     """Plays the case."""
-    addresses = [*SERVICE_BY_IP, *SHOWN.values(), *STORES.values()]
-    ports = platform.find_ports(addresses)
+    ports = platform.find_ports([platform.STORE_IP, *NODE_IPS])
     log_store = store.Store()
-    log_store.names = SHOWN
-    rules = [
-        platform.build_rule(
-            "r-upload", "upload", UPLOAD_PATH, "scanroom", timeout="4000ms",
-            latency="1014ms",
-        ),
-        platform.build_rule(
-            "r-file", "unsafe", FILE_PATH, "registry", timeout="2000ms", latency="507ms"
-        ),
+    rule = platform.build_rule(
+        "r-workorder", "unsafe", PATH, SERVICE, timeout="1200ms", latency="2000ms"
+    )
+    log_store.put("keyed.op", "config", platform.build_config(7, HOST, [rule]))
+    await log_store.start(platform.STORE_IP, ports.store)
+    nodes = [
+        platform.Node(folder, ip, "lockside-a", SERVICE, ports, log) for ip in NODE_IPS
+    ]
+    endpoints = [
+        endpoint.Endpoint(
+            node.ip, ports.app, SERVICE, node.zone, f"i-7f3a91c{number}", 76, log, work
+        )
+        for number, node in enumerate(nodes)
     ]
-    log_store.put("keyed.op", "config", platform.build_config(7, HOST, rules))
-    nodes: dict[str, platform.Node] = {}
-    proxies: dict[str, net.Proxy] = {}
     loads = []
-    uploads, files = Requests(), Requests()
     try:
-        for number, (ip, service) in enumerate(SERVICE_BY_IP.items()):
-            await log_store.start(STORES[ip], ports.store, ip)
-            proxies[ip] = net.Proxy((ip, ports.inbound), SHOWN)
-            await proxies[ip].start(SHOWN[ip], ports.inbound)
-            node = platform.Node(folder, ip, "doto-a", service, ports, log)
-            node.store_ip = STORES[ip]
+        for node, server in zip(nodes, endpoints, strict=True):
             node.start()
-            nodes[ip] = node
-            server = endpoint.Endpoint(
-                ip, ports.app, service, node.zone, f"i-7f3a91c{number}", 85, log, work
-            )
             await server.start(ports.admin, platform.HEARTBEAT_S)
-        for node in nodes.values():
+        for node in nodes:
             await node.wait_ready()
         await asyncio.sleep(3.0)
-        log.write("clients begin")
-        body = b"s" * UPLOAD_BYTES
-        loads = [
-            asyncio.ensure_future(
-                send_regularly(
-                    log, ports, uploads, "upload", UPLOAD_PATH, body, UPLOAD_LIMIT_S,
-                    UPLOADS_PER_S,
-                )
-            ),
-            asyncio.ensure_future(
-                send_regularly(
-                    log, ports, files, "file", FILE_PATH, b"", FILE_LIMIT_S, FILES_PER_S
-                )
-            ),
-        ]
-        await asyncio.sleep(CALM_S)
-        connections = [each for each in proxies[SCAN_IP].connections if each.is_open]
-        busiest = max(connections, key=lambda each: each.byte_count)
-        log.write(
-            f"open connections to the node {SCAN_IP}, with bytes so far: "
-            f"{[(each.number, each.byte_count) for each in connections]}"
-        )
+        clients = [Clients(node, log) for node in nodes]
+        loads = [asyncio.ensure_future(each.run()) for each in clients]
+        await asyncio.sleep(3.0)
+
+        node, leaving = nodes[0], endpoints[0]
+        # A ping that the endpoint sends now and that arrives late.
+        late_ping = leaving.build_ping()
+        late_ping_at = log.now() + PING_LATE_S
+        log.write(f"a ping of {leaving.instance} is sent and delayed")
+        leaving.pings.cancel()
         if has_trouble:
-            busiest.is_silent = True
-            log.write(f"connection {busiest.number} falls silent")
-        from_s = log.now() + STABLE_WINDOW_S
-        await asyncio.sleep(STABLE_WINDOW_S + JUDGED_S + UPLOAD_LIMIT_S)
+            log.write("the store falls silent")
+            log_store.is_silent = True
+            store_up_at = log.now() + STORE_DOWN_S
+        await asyncio.sleep(0.2)
+        log.write(f"{leaving.instance} says that it leaves (DELETE)")
+        status = await leaving.deregister()
+        acknowledged_at = log.now()
+        log.write(f"{leaving.instance} is answered {status}")
+        if status != 200:
+            log.write("no acknowledgement: the case does not apply")
+            return 2
+        in_touch_from = 0.0
+        if has_trouble:
+            log.write(f"node {node.ip} is killed")
+            node.kill()
+            await asyncio.sleep(RESTART_DELAY_S)
+            node.start()
+            in_touch_from = log.now() + STABLE_WINDOW_S
+            await asyncio.sleep(store_up_at - log.now())
+            log_store.is_silent = False
+            log.write("the store is back")
+            in_touch_from = max(in_touch_from, log.now() + STABLE_WINDOW_S)
+        await asyncio.sleep(late_ping_at - log.now())
+        status = await leaving.call_node(late_ping)
+        log.write(f"the delayed ping arrives and is answered {status}")
+        await asyncio.sleep(acknowledged_at + SERVES_ON_S - log.now())
+        log.write(f"{leaving.instance} ends")
+        leaving.stop()
+        await asyncio.sleep(2.0)
     finally:
         for load in loads:
             load.cancel()
-        for node in nodes.values():
-            node.kill()
-    everything = Requests()
-    everything.results = uploads.results + files.results
-    log.write(f"sent since {from_s:.1f}: uploads {uploads.count(from_s)}")
-    log.write(f"sent since {from_s:.1f}: files {files.count(from_s)}")
-    opened = [each.number for each in proxies[SCAN_IP].connections if each.is_open]
-    log.write(f"connections to the node {SCAN_IP} that are open at the end: {opened}")
-    ratio, all_ratio = uploads.get_ratio(from_s), everything.get_ratio(from_s)
-    log.write(f"served: uploads {ratio:.3f}, all requests {all_ratio:.3f}")
-    is_starved = ratio < STARVED_RATIO * all_ratio
-    log.write(f"Starved is {'broken' if is_starved else 'kept'}")
-    return 1 if is_starved else 0
+        for each in nodes:
+            each.kill()
+
+    bound_at = max(acknowledged_at + DRAIN_S, in_touch_from)
+    sent_at = {key: at for each in clients for key, at in each.sent_at.items()}
+    late = [
+        run for run in leaving.runs
+        if run.began_at > acknowledged_at + DRAIN_S
+        and sent_at[run.request_id] > in_touch_from
+    ]
+    log.write(f"acknowledged at {acknowledged_at:.3f}, in touch from {in_touch_from:.3f}")
+    log.write(f"requests sent and run after {bound_at:.3f} at the endpoint: {len(late)}")
+    results = {key: each for group in clients for key, each in group.result_by_id.items()}
+    lost = [run for run in late if results.get(run.request_id) != "200"]
+    log.write(f"of these, run and lost with the end of the endpoint: {len(lost)}")
+    log.write(f"DRAIN is {'broken' if late else 'kept'}")
+    return 1 if late else 0
 
 
 if __name__ == "__main__":
