--- a/review/2/case.py
+++ b/review/2/case.py
@@ -18,9 +18,11 @@
 PATH = "/cufi502/"
 NODE_IPS = tuple(f"127.0.0.{number}" for number in range(161, 165))
 DEADLINE_S = 8.006
-REQUESTS_PER_S = 20.0  # at each node
+REQUESTS_PER_S = 25.0  # at each node
 FAULTY_ENDPOINTS = 2  # of 4: share 0.5
 ENDLESS_SHARE = 0.05  # of their answers
+FAULTY_S = 5.0
+PAUSE_S = 1.0
 CHUNKS = b"4\r\nabcd\r\n" * 8192
 MEMORY_MB = 200
 RESTART_DELAY_S = 1.0
@@ -171,6 +173,17 @@
     return b"x" * 6000
 
 
+async def disturb(servers: list[EndlessEndpoint], *, has_trouble: bool) -> None:
+    """Lets endpoints be faulty again and again, for some seconds each time."""
+    while True:
+        for server in servers:
+            server.is_faulty = has_trouble
+        await asyncio.sleep(FAULTY_S)
+        for server in servers:
+            server.is_faulty = False
+        await asyncio.sleep(PAUSE_S)
+
+
 def is_fault(nodes: list[platform.Node]) -> bool:
     """Returns whether processes ended by themselves as often as the rule says."""
     failing = [node for node in nodes if node.ended_count >= ENDS_FOR_FAULT]
@@ -217,8 +230,11 @@
         tasks = [asyncio.ensure_future(limit_memory(node, log)) for node in nodes]
         tasks += [asyncio.ensure_future(each.run()) for each in clients]
         await asyncio.sleep(2.0)
-        for server in servers[:FAULTY_ENDPOINTS]:
-            server.is_faulty = has_trouble
+        tasks.append(
+            asyncio.ensure_future(
+                disturb(servers[:FAULTY_ENDPOINTS], has_trouble=has_trouble)
+            )
+        )
         ends_at = log.now() + LOAD_S
         while log.now() < ends_at and not is_fault(nodes):
             await asyncio.sleep(0.2)
