--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,17 +14,17 @@
 from lab import endpoint, http, platform, record, store  # noqa: E402
 
 HOST = "hulo84.example"
-SERVICE = "bays"
-PATH = "/cufi502/"
+SERVICE = "report-desk"
+PATH = "/leny950/"
 NODE_IPS = tuple(f"127.0.0.{number}" for number in range(161, 165))
-DEADLINE_S = 8.006
+DEADLINE_S = 6.0
 REQUESTS_PER_S = 25.0  # at each node
 FAULTY_ENDPOINTS = 2  # of 4: share 0.5
 ENDLESS_SHARE = 0.05  # of their answers
 FAULTY_S = 5.0
 PAUSE_S = 1.0
 CHUNKS = b"4\r\nabcd\r\n" * 8192
-MEMORY_MB = 200
+MEMORY_MB = 300
 RESTART_DELAY_S = 1.0
 LOAD_S = 90.0
 ENDS_FOR_FAULT = 3
@@ -169,8 +169,8 @@
 
 async def work(request: http.Message) -> bytes:
     """Makes the answer to a request."""
-    await asyncio.sleep(0.43)
-    return b"x" * 6000
+    await asyncio.sleep(0.16)
+    return b"x" * 1500
 
 
 async def disturb(servers: list[EndlessEndpoint], *, has_trouble: bool) -> None:
@@ -196,12 +196,12 @@
     ports = platform.find_ports([platform.STORE_IP, *NODE_IPS])
     log_store = store.Store()
     rule = platform.build_rule(
-        "r-booking", "download", PATH, SERVICE, timeout="8000ms", latency="1501ms"
+        "r-lookup", "safe", PATH, SERVICE, timeout="6000ms", latency="1500ms"
     )
     log_store.put("keyed.op", "config", platform.build_config(7, HOST, [rule]))
     await log_store.start(platform.STORE_IP, ports.store)
     nodes = [
-        platform.Node(folder, ip, "muizenberg", SERVICE, ports, log, MEMORY_MB)
+        platform.Node(folder, ip, "lockside-a", SERVICE, ports, log, MEMORY_MB)
         for ip in NODE_IPS
     ]
     servers: list[EndlessEndpoint] = []
@@ -215,7 +215,7 @@
                 SERVICE,
                 node.zone,
                 f"i-7f3a91c{number}",
-                36,
+                76,
                 log,
                 work,
             )
