An answer without end takes no more memory and time than its content

Cause: the parts of a body were held in a list and counted by their content, 4 bytes for 56 that they took. Lines of heads were held three times and counted nowhere. Complete answers that match no request reset the count, and nothing bounded the number of parts, each of which costs a call.

Change: one buffer for a body (part_buffer), limits on parts, lines and answers to nobody (message_limits), lines counted in the budget, and of several bodies the longest one of unknown length gives way. The same cause mended in answers of the store and in heads of clients.

Ruled out: a cut by bytes alone, since 32 MB in chunks of 1 byte are 33 million calls.

--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1.py
@@ -134,8 +134,14 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Appends a header; drops a trailer, which was not checked with the head."""
-        if self._partial_request is None:
+        """Appends a header; drops a trailer, which was not checked with the head.
+
+        Of a head that is too long, no more headers are held than exceed the limit.
+        """
+        if self._partial_request is not None:
+            return
+        max_bytes = self._server.limits.max_header_bytes
+        if len(self._headers) <= max_bytes // http_head.HEADER_OVERHEAD_BYTES:
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/http1_test.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP/1.1 server with raw bytes."""
 
 import asyncio
+import tracemalloc
 
 import pytest
 
@@ -218,3 +219,27 @@
         received, requests = exchange_bytes(head + b"\r\nContent-Length: 3\r\n\r\nabc")
         assert not requests
         assert received.startswith(b"HTTP/1.1 400 ")
+
+
+class TestHeadOfShortLines:
+    """Each line of a head takes memory beside its bytes."""
+
+    def test_no_more_lines_are_held_than_the_limit_allows(self) -> None:
+        """A head of 80 KB in lines of four bytes once took 2.6 MB until it ended."""
+        limits = LIMITS._replace(max_header_bytes=16_384)
+        server = http1.HttpServer(
+            asyncio.new_event_loop(), lambda *_: None, limits, lambda status: None
+        )
+        connection = http1.ServerConnection(server)
+        tracemalloc.start()
+        try:
+            connection.data_received(b"GET / HTTP/1.1\r\n" + b"a:\r\n" * 15_000)
+            held_bytes = tracemalloc.get_traced_memory()[0]
+        finally:
+            tracemalloc.stop()
+        assert held_bytes <= 1024 * 1024
+
+    def test_head_of_many_lines_within_the_limit_is_accepted(self) -> None:
+        head = b"GET /x HTTP/1.1\r\nHost: a\r\n" + b"a:\r\n" * 380 + b"\r\n"
+        received, _ = exchange_bytes(head)
+        assert received.startswith(b"HTTP/1.1 200")
--- a/packages/catkintiller-relay/src/catkintiller_relay/ingress/incoming_body.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/ingress/incoming_body.py
@@ -2,14 +2,11 @@
 
 import enum
 
-from . import body_budget
+from .. import part_buffer
+from . import body_budget, message_limits
 
 # Rest of a refused body that is discarded so that the connection can be kept open.
 MAX_SHORT_REST_BYTES = 64 * 1024
-# Bytes of a chunked body outside its content: trailers and the framing of chunks, of
-# which small ones have many times the bytes of their content.
-MAX_OVERHEAD_BYTES = 64 * 1024
-MAX_FRAMING_RATIO = 8
 
 
 class BodyFailure(enum.Enum):
@@ -39,6 +36,7 @@
         "_budget",
         "_content",
         "_max_bytes",
+        "_part_count",
         "_reserved_bytes",
         "_total_bytes",
         "declared_bytes",
@@ -59,8 +57,9 @@
         expects_continue: bool,
     ) -> None:
         self._budget = budget
-        self._content: bytes | bytearray = b""
+        self._content = part_buffer.PartBuffer()
         self._max_bytes = max_bytes
+        self._part_count = 0
         self._reserved_bytes = 0
         self._total_bytes = 0
         self.declared_bytes = declared_bytes
@@ -103,36 +102,33 @@
     def append(self, chunk: bytes) -> BodyFailure | None:
         """Adds a part; returns a failure if the body must not be read any further."""
         self.received_bytes += len(chunk)
+        self._part_count += 1
         if self.is_discarded or self.failure is not None:
             return None
         if self.received_bytes > self._max_bytes:
             self._fail(BodyFailure.TOO_LARGE)
         elif not self._reserve(self.received_bytes):
             self._fail(BodyFailure.NO_ROOM)
-        elif not self._content:
-            self._content = chunk
         else:
-            if type(self._content) is bytes:
-                # A list of the parts would take many times the room of small parts.
-                self._content = bytearray(self._content)
-            self._content += chunk
+            self._content.append(chunk)
         return self.failure
 
     def count_bytes(self, count: int) -> bool:
         """Counts bytes after the head; returns whether most are content.
 
         The parser holds the trailers of a chunked body, which are not in the budget.
+        Parts that are too small for their number cost more time than their content.
         """
         self._total_bytes += count
-        overhead_bytes = self._total_bytes - self.received_bytes
-        return overhead_bytes <= (
-            MAX_OVERHEAD_BYTES + MAX_FRAMING_RATIO * self.received_bytes
+        content_bytes = self.received_bytes
+        return not (
+            message_limits.is_overhead_excessive(self._total_bytes, content_bytes)
+            or message_limits.are_parts_too_small(self._part_count, content_bytes)
         )
 
     def take(self) -> bytes:
         """Returns the complete body; its room stays reserved until it is released."""
-        content, self._content = self._content, b""
-        return bytes(content)
+        return self._content.take()
 
     def discard(self) -> None:
         """Drops what has arrived and what follows, and gives its room back."""
@@ -141,7 +137,7 @@
 
     def release(self) -> None:
         """Gives its room back."""
-        self._content = b""
+        self._content.clear()
         reserved_bytes, self._reserved_bytes = self._reserved_bytes, 0
         self._budget.release(reserved_bytes)
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
@@ -6,12 +6,13 @@
 
 import abc
 import asyncio
+import functools
 from collections.abc import Callable
 
 import httptools
 
-from .. import data, sockets
-from ..ingress import body_budget
+from .. import data, part_buffer, sockets
+from ..ingress import body_budget, message_limits
 from . import response_notices
 
 DEFAULT_IDLE_TIMEOUT_S = 4.0
@@ -24,10 +25,10 @@
 # Bodies up to this size are sent in one piece with their heads.
 MAX_JOINED_BODY_BYTES = 32 * 1024
 BODY_PIECE_BYTES = 64 * 1024
-# Bytes of a response outside its body: the head, interim responses, trailers and the
-# framing of chunks, of which small ones have many times the bytes of their content.
-MAX_OVERHEAD_BYTES = 64 * 1024
-MAX_FRAMING_RATIO = 8
+# Complete responses before the expected one that match no request. Their bodies and
+# the expected one may have twice the length of the longest body.
+MAX_STRAY_RESPONSE_COUNT = 16
+MAX_RECEIVED_CONTENT_BYTES = 2 * MAX_RESPONSE_BODY_BYTES
 
 _DROPPED_HEADERS = frozenset(
     (
@@ -42,6 +43,12 @@
         b"content-length",
     )
 )
+_FRAMING_HEADERS = (
+    b"content-encoding",
+    b"content-length",
+    b"keep-alive",
+    b"transfer-encoding",
+)
 
 CompletionHandler = Callable[
     [data.Outcome, data.RefusalReason | None, int, bytes, bytes], None
@@ -143,6 +150,14 @@
     def count_stray_response(self) -> None:
         """Counts a response that matches no request."""
 
+    @abc.abstractmethod
+    def make_room(self, body_bytes: int) -> bool:
+        """Ends the response that takes most room for a body of unknown length.
+
+        :param body_bytes: length that its body must exceed.
+        :returns: whether there was one.
+        """
+
 
 class EndpointConnection(asyncio.Protocol):
     """One connection to the endpoint.
@@ -159,22 +174,31 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
+        self._interpreted_names = get_interpreted_names(owner.header_names)
+        self._header_count = 0
         self._headers: list[tuple[bytes, bytes]] = []
         self._forwarded_lines: list[bytes] = []
         self._values: dict[bytes, bytes] = {}
         self._reason_phrase = b""
-        self._body_chunks: list[bytes] = []
-        self._body_bytes = 0
+        self._body = part_buffer.PartBuffer()
         self._reserved_bytes = 0
         self._unsent_body: memoryview | None = None
         self._writing_paused = False
         self._sends_body = False
         self._was_cut_off = False
         self._received_bytes = 0
+        self._content_bytes = 0
+        self._part_count = 0
+        self._stray_count = 0
         self._head_complete = False
         self.idle_since = 0.0
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
 
+    @property
+    def undeclared_body_bytes(self) -> int:
+        """Bytes that have arrived of a body whose length is not known."""
+        return 0 if b"content-length" in self._values else len(self._body)
+
     @property
     def usable(self) -> bool:
         """Whether a request can be sent."""
@@ -196,12 +220,12 @@
         self._unsent_body = None
         self._owner.remove(self)
         if self._exchange is None:
-            self._drop_body()
+            self._drop_message()
             return
         ends_with_connection = self._head_complete and not self._has_body_length()
         if exc is None and ends_with_connection:
             self._complete(reusable=False)
-        self._drop_body()
+        self._drop_message()
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
             exchange.connection = None
@@ -221,23 +245,13 @@
             self._fail(data.RefusalReason.BROKEN_ANSWER)
             self.abort()
             return
-        overhead_bytes = self._received_bytes - self._body_bytes
-        if (
-            self._exchange is not None
-            and overhead_bytes
-            > MAX_OVERHEAD_BYTES + MAX_FRAMING_RATIO * self._body_bytes
-        ):
+        if self._exchange is not None and self._is_excessive():
             self._fail(data.RefusalReason.BROKEN_ANSWER)
             self.abort()
 
     def on_message_begin(self) -> None:
         """Resets the parser state for a new response."""
-        self._headers = []
-        self._forwarded_lines = []
-        self._values = {}
-        self._reason_phrase = b""
-        self._drop_body()
-        self._head_complete = False
+        self._drop_message()
         if self._exchange is None:
             self.abort()
 
@@ -246,12 +260,19 @@
         self._reason_phrase += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Appends a header, or a trailer."""
+        """Appends a header, or a trailer; those above the limit are not held."""
+        self._header_count += 1
+        if self._header_count > message_limits.MAX_HEADER_COUNT:
+            return
         lower_name = name.lower()
-        self._headers.append((lower_name, value))
-        self._values[lower_name] = value
+        if lower_name in self._interpreted_names:
+            self._headers.append((lower_name, value))
+            self._values[lower_name] = value
         if lower_name not in _DROPPED_HEADERS:
-            self._forwarded_lines.append(b"%b: %b\r\n" % (name, value))
+            line = b"%b: %b\r\n" % (name, value)
+            self._forwarded_lines.append(line)
+            self._owner.budget.take(len(line))
+            self._reserved_bytes += len(line)
 
     def on_headers_complete(self) -> None:
         """Passes on the notice in the head if the response is for the exchange."""
@@ -277,18 +298,18 @@
         """Appends a part of the body; fails the exchange above the size limit."""
         if self._exchange is None:
             return
-        self._body_bytes += len(chunk)
+        part_bytes = len(chunk)
+        self._content_bytes += part_bytes
+        self._part_count += 1
+        body_bytes = len(self._body) + part_bytes
         budget = self._owner.budget
-        if self._body_bytes <= MAX_UNRESERVED_BODY_BYTES:
-            budget.take(len(chunk))
-        elif self._body_bytes > MAX_RESPONSE_BODY_BYTES or not budget.reserve(
-            len(chunk)
-        ):
-            self._fail(data.RefusalReason.NO_MEMORY)
-            self.abort()
+        if body_bytes <= MAX_UNRESERVED_BODY_BYTES:
+            budget.take(part_bytes)
+        elif body_bytes > MAX_RESPONSE_BODY_BYTES or not self._reserve(part_bytes):
+            self.end_for_memory()
             return
-        self._reserved_bytes += len(chunk)
-        self._body_chunks.append(chunk)
+        self._reserved_bytes += part_bytes
+        self._body.append(chunk)
 
     def on_message_complete(self) -> None:
         """Completes the exchange unless the response is informational (1xx)."""
@@ -312,6 +333,9 @@
         self._carried_count += 1
         self._exchange = exchange
         self._received_bytes = 0
+        self._content_bytes = 0
+        self._part_count = 0
+        self._stray_count = 0
         exchange.connection = self
         exchange.started_at = now
         body = exchange.body
@@ -332,11 +356,16 @@
         self._writing_paused = False
         self._send_pieces()
 
+    def end_for_memory(self) -> None:
+        """Ends the exchange because there is no memory for its response."""
+        self._fail(data.RefusalReason.NO_MEMORY)
+        self.abort()
+
     def abort(self) -> None:
         """Aborts the connection and drops the outstanding exchange."""
         self._exchange = None
         self._unsent_body = None
-        self._drop_body()
+        self._drop_message()
         if self._transport is not None:
             self._transport.abort()
 
@@ -365,6 +394,16 @@
             )
             self._unsent_body = None
 
+    def _reserve(self, count: int) -> bool:
+        """Reserves room for a part of the body; returns whether there is enough.
+
+        A body that may have no end does not take the room of shorter ones.
+        """
+        budget = self._owner.budget
+        return budget.reserve(count) or (
+            self._owner.make_room(len(self._body)) and budget.reserve(count)
+        )
+
     def _has_body_length(self) -> bool:
         values = self._values
         return b"content-length" in values or b"transfer-encoding" in values
@@ -398,15 +437,16 @@
         if not self._is_response_to(exchange):
             # The response is for another request; the expected one may still follow.
             self._owner.count_stray_response()
-            self._received_bytes = 0
+            self._stray_count += 1
             if not reusable or header_names.request_id not in headers:
                 self._fail(data.RefusalReason.BROKEN_ANSWER)
                 self.abort()
             return
         self._exchange = None
         exchange.connection = None
-        body = b"".join(self._body_chunks)
-        self._drop_body()
+        body = self._body.take()
+        forwarded_lines = b"".join(self._forwarded_lines)
+        self._drop_content()
         if self._is_not_run():
             self._refused_ids.add(exchange.request_id)
         self._release_connection(headers, reusable)
@@ -423,7 +463,7 @@
         head = b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n" % (
             status,
             self._reason_phrase or b"Status",
-            b"".join(self._forwarded_lines),
+            forwarded_lines,
             len(body),
         )
         exchange.complete(data.Outcome.ANSWERED, None, status, head, body)
@@ -449,13 +489,33 @@
         is_kept = reusable and self.idle_timeout_s > 0
         return is_kept and remembers_refusals and self.usable
 
-    def _drop_body(self) -> None:
-        if not self._body_bytes:
-            return
+    def _is_excessive(self) -> bool:
+        """Returns whether no sound endpoint would send what has arrived."""
+        content_bytes = self._content_bytes
+        return (
+            message_limits.is_overhead_excessive(self._received_bytes, content_bytes)
+            or message_limits.are_parts_too_small(self._part_count, content_bytes)
+            or self._header_count > message_limits.MAX_HEADER_COUNT
+            or self._stray_count > MAX_STRAY_RESPONSE_COUNT
+            or content_bytes > MAX_RECEIVED_CONTENT_BYTES
+        )
+
+    def _drop_message(self) -> None:
+        """Drops what has arrived of a response, and gives its room back."""
+        self._header_count = 0
+        self._headers = []
+        self._values = {}
+        self._reason_phrase = b""
+        self._head_complete = False
+        self._drop_content()
+
+    def _drop_content(self) -> None:
+        """Drops the forwarded lines and the body, and gives their room back."""
+        self._forwarded_lines = []
+        self._body.clear()
         reserved_bytes, self._reserved_bytes = self._reserved_bytes, 0
-        self._owner.budget.release(reserved_bytes)
-        self._body_bytes = 0
-        self._body_chunks = []
+        if reserved_bytes:
+            self._owner.budget.release(reserved_bytes)
 
     def _fail(self, reason: data.RefusalReason) -> None:
         exchange, self._exchange = self._exchange, None
@@ -464,6 +524,15 @@
             exchange.complete(data.Outcome.UNKNOWN, reason)
 
 
+@functools.lru_cache
+def get_interpreted_names(names: data.HeaderNames) -> frozenset[bytes]:
+    """Returns the headers of a response that a node reads, in lower case.
+
+    :param names: names of the headers that the platform chose.
+    """
+    return frozenset((*names, *_FRAMING_HEADERS))
+
+
 def parse_keep_alive_s(value: bytes) -> float:
     """Parses the idle timeout of a Keep-Alive header, less a safety margin.
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_pool.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_pool.py
@@ -115,6 +115,16 @@
         """Counts a response that matches no request."""
         self.stray_response_count += 1
 
+    def make_room(self, body_bytes: int) -> bool:
+        """Ends the response that takes most room for a body of unknown length."""
+        longest = max(
+            self._open, key=lambda each: each.undeclared_body_bytes, default=None
+        )
+        if longest is None or longest.undeclared_body_bytes <= body_bytes:
+            return False
+        longest.end_for_memory()
+        return True
+
     def close_idle(self) -> None:
         """Aborts all idle connections."""
         for connection in list(self._idle):
--- a/packages/catkintiller-relay/src/catkintiller_relay/store_connection.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/store_connection.py
@@ -5,7 +5,7 @@
 
 import httptools
 
-from . import data, sockets
+from . import data, part_buffer, sockets
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_RECEIVE_S = 10.0  # from the time at which the first byte is due
@@ -31,7 +31,7 @@
         self._parser: httptools.HttpResponseParser | None = None
         self._pending: asyncio.Future[Response] | None = None
         self._headers: dict[bytes, bytes] = {}
-        self._body_chunks: list[bytes] = []
+        self._body = part_buffer.PartBuffer()
         self._received_bytes = 0
         self._received_at = float("-inf")
 
@@ -66,7 +66,7 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Appends a chunk of the response body."""
-        self._body_chunks.append(chunk)
+        self._body.append(chunk)
 
     def on_message_complete(self) -> None:
         """Completes the pending request with the parsed response."""
@@ -75,8 +75,7 @@
         self._parser = None
         pending, self._pending = self._pending, None
         if pending is not None and not pending.done():
-            body = b"".join(self._body_chunks)
-            pending.set_result(Response(status, self._headers, body))
+            pending.set_result(Response(status, self._headers, self._body.take()))
         if not keep_alive:
             self.close()
 
@@ -96,7 +95,7 @@
             self._pending.set_exception(data.StoreError("connection lost"))
             return self._pending
         self._parser = httptools.HttpResponseParser(self)
-        self._body_chunks = []
+        self._body.clear()
         self._headers = {}
         self._received_bytes = 0
         self._transport.write(head.encode() + body)
