A departure is acknowledged once something outside the process keeps it

Cause: after 0.4 s without the store the departure stood in one process; peers knew of it and used it for their own choice only.

Change: acknowledged when the store has it, or after 0.4 s when two connected nodes hold copies, one in another availability zone; 503 after 3.5 s without either. Holders hand copies over on each new connection, the node applies and writes them. A node that starts holds its endpoint back until it has read the store and heard half of its peers, 2 s at most. A second announcement waits for the result of the first, and a node does not replace its record before it has read it. Protocol version 7.

Ruled out: no acknowledgement while the store is silent; a probe of the endpoint.

Open: all nodes lost while the store is silent.

--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -98,6 +98,7 @@
         self._observer = observer
         self._rng = rng
         self._connection: outgoing_connection.OutgoingConnection | None = None
+        self._informed_connection: outgoing_connection.OutgoingConnection | None = None
         self._replaced_connections: list[outgoing_connection.OutgoingConnection] = []
         self._connecting = False
         self._reconnect_at = 0.0
@@ -142,6 +143,12 @@
         state = self.state
         return state is not None and state.protocol >= frames.CONFIG_READ_VERSION
 
+    @property
+    def handles_departures(self) -> bool:
+        """Whether the peer's version of the protocol has copies of departures."""
+        state = self.state
+        return state is not None and state.protocol >= frames.DEPARTURE_VERSION
+
     @property
     def config_reading(self) -> data.ConfigReading:
         """How the peer gets its configs; from peers if it says something else."""
@@ -281,6 +288,7 @@
                 route: own_us / 1e6 for route, own_us, _ in message.route_times
             }
             self._handle_load_report(message.load_report)
+            self._hand_over_copies()
             self._observer.handle_state(self.address, message)
         elif isinstance(message, frames.ConfigReply):
             self._observer.handle_config(message)
@@ -290,6 +298,24 @@
             self._observer.handle_cleared_requests(message)
         elif isinstance(message, frames.QuotaReply):
             self._observer.handle_quota_reply(self.address, message)
+        elif isinstance(message, frames.Departure):
+            self._observer.handle_departure(self.address, message)
+            self._send_copy(frames.DepartureCopy(message.instance, message.start_ms))
+        elif isinstance(message, frames.DepartureCopy):
+            self._observer.handle_departure_copy(self.address, message)
+
+    def _hand_over_copies(self) -> None:
+        """Sends the copies of the peer's departures, once on each connection."""
+        connection = self._connection
+        if connection is self._informed_connection or not self.handles_departures:
+            return
+        self._informed_connection = connection
+        for copy in self._observer.get_departure_copies(self.address):
+            self._send_copy(copy)
+
+    def _send_copy(self, copy: frames.DepartureCopy) -> None:
+        if self.connected:
+            self._connection.send(copy)
 
     def _handle_load_report(self, report: frames.LoadReport) -> None:
         self.update_load(report.load, report.service_time_us)
@@ -413,9 +439,13 @@
             return
         finally:
             self._connecting = False
+        has_received = connection.last_received_at > 0.0
         connection.last_received_at = self.loop.time()
         self._connection = connection
         self._backoff_s = MIN_BACKOFF_S
         self._reconnect_at = 0.0
         self.unreachable_since = None
         self._observer.handle_peer_event(self.address, "connected")
+        if has_received:
+            # Its state has arrived before the connection could be used.
+            self._hand_over_copies()
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames.py
@@ -9,12 +9,13 @@
 
 from .. import data
 
-PROTOCOL_VERSION = 6
+PROTOCOL_VERSION = 7
 LOAD_REQUEST_VERSION = 3  # first protocol version with load requests
 CRASH_REPORT_VERSION = 4  # first protocol version with crash reports
 QUOTA_VERSION = 5  # first protocol version with quota requests
 BODY_CONNECTION_VERSION = 5  # first protocol version with body connections
 CONFIG_READ_VERSION = 6  # first protocol version that tells of reads of the store
+DEPARTURE_VERSION = 7  # first protocol version with copies of departures
 # A body from this size on goes over the second connection. It takes 1.3 ms at
 # 100 Mbit/s, so some tens of smaller ones delay a message by less than 50 ms.
 LARGE_BODY_BYTES = 16 * 1024
@@ -311,6 +312,35 @@
     age_ms: int
 
 
+class Departure(msgspec.Struct, tag=16, array_like=True):
+    """Tells that the endpoint beside the sender has announced its departure.
+
+    The receiver holds a copy and says so. Nodes before :data:`DEPARTURE_VERSION` do
+    not know this message.
+
+    :param instance: instance ID of the endpoint.
+    :param start_ms: Unix time of the endpoint's start, in milliseconds.
+    """
+
+    instance: str
+    start_ms: int
+
+
+class DepartureCopy(msgspec.Struct, tag=17, array_like=True):
+    """Tells that the sender holds a copy of a departure that the receiver announced.
+
+    Sent for each departure, and for all that are held on each new connection between
+    the two nodes: the receiver may have restarted. Nodes before
+    :data:`DEPARTURE_VERSION` do not know this message.
+
+    :param instance: instance ID of the endpoint.
+    :param start_ms: Unix time of the endpoint's start, in milliseconds.
+    """
+
+    instance: str
+    start_ms: int
+
+
 Message = (
     Hello
     | NodeState
@@ -327,6 +357,8 @@
     | QuotaReply
     | BodyHello
     | ConfigRead
+    | Departure
+    | DepartureCopy
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
@@ -200,6 +200,20 @@
         """Returns nothing."""
         return None
 
+    def handle_departure(self, address: str, departure: frames.Departure) -> None:
+        """Ignores a departure."""
+
+    def get_departure_copies(self, address: str) -> list[frames.DepartureCopy]:
+        """Returns no copies."""
+        return []
+
+    def get_departures(self) -> list[frames.Departure]:
+        """Returns no departures."""
+        return []
+
+    def handle_departure_copy(self, address: str, copy: frames.DepartureCopy) -> None:
+        """Ignores a copy."""
+
     def handle_quota_request(
         self, sender: str, request: frames.QuotaRequest
     ) -> frames.QuotaReply | None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_observer.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_observer.py
@@ -70,6 +70,28 @@
     def handle_quota_reply(self, address: str, reply: frames.QuotaReply) -> None:
         """Handles the reply of a peer to a request for tokens."""
 
+    @abc.abstractmethod
+    def handle_departure(self, address: str, departure: frames.Departure) -> None:
+        """Holds a copy of a departure that a peer has announced.
+
+        :param address: address of the peer.
+        """
+
+    @abc.abstractmethod
+    def get_departure_copies(self, address: str) -> list[frames.DepartureCopy]:
+        """Returns the copies that this node holds for the node at an address."""
+
+    @abc.abstractmethod
+    def get_departures(self) -> list[frames.Departure]:
+        """Returns the departures that the endpoint beside this node has announced."""
+
+    @abc.abstractmethod
+    def handle_departure_copy(self, address: str, copy: frames.DepartureCopy) -> None:
+        """Handles the message of a peer that it holds a copy of a departure.
+
+        :param address: address of the peer.
+        """
+
     @abc.abstractmethod
     def build_crash_handover(self) -> frames.CrashReport | None:
         """Builds what a node that has just connected must know about crashes."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -28,6 +28,7 @@
     :ivar address: address where the peer accepts connections; empty until it has
         introduced itself.
     :ivar service: service of the peer's endpoint; empty until then.
+    :ivar zone: availability zone of the peer; empty until then.
     :ivar needs_every_report: whether the peer is of a version that takes a node for
         unresponsive without reports four times a second.
     """
@@ -49,6 +50,7 @@
         self._frame_started_at = 0.0
         self.address = ""
         self.service = ""
+        self.zone = ""
         self.needs_every_report = False
 
     @property
@@ -56,6 +58,11 @@
         """Whether the peer has introduced itself and its version has crash reports."""
         return self._protocol >= frames.CRASH_REPORT_VERSION
 
+    @property
+    def takes_departures(self) -> bool:
+        """Whether the peer has introduced itself and its version holds copies."""
+        return self._protocol >= frames.DEPARTURE_VERSION and not self._carries_bodies
+
     @property
     def is_transferring_body(self) -> bool:
         """Whether part of a message has arrived or left on the second connection."""
@@ -112,6 +119,8 @@
                 self._send_config(message)
             elif type(message) is frames.ConfigRead:
                 self._server.observer.handle_config_read(message)
+            elif type(message) is frames.DepartureCopy:
+                self._server.observer.handle_departure_copy(self.address, message)
             elif type(message) is frames.QuotaRequest:
                 self._handle_quota_request(message)
             elif type(message) is frames.BodyHello:
@@ -135,6 +144,7 @@
         self._protocol = message.protocol
         self.address = message.address
         self.service = message.service
+        self.zone = message.zone
         self.needs_every_report = message.protocol < frames.LOAD_REQUEST_VERSION
         if message.connection_number:
             self._connection_key = (message.boot_id, message.connection_number)
@@ -143,6 +153,16 @@
         handover = self._server.observer.build_crash_handover()
         if handover is not None and self.takes_crash_reports:
             self.send(handover)
+        if self.takes_departures:
+            self._exchange_departures()
+
+    def _exchange_departures(self) -> None:
+        """Lets the peer hold this node's departures, and hands over its own."""
+        observer = self._server.observer
+        for departure in observer.get_departures():
+            self.send(departure)
+        for copy in observer.get_departure_copies(self.address):
+            self.send(copy)
 
     def _handle_body_hello(self, message: frames.BodyHello) -> None:
         """Makes this the second connection of a peer, for messages with large bodies.
@@ -427,6 +447,21 @@
             if connection.takes_crash_reports and service in (None, connection.service):
                 connection.write(frame)
 
+    def send_departure(self, departure: frames.Departure) -> None:
+        """Sends a departure to the connected nodes that hold copies."""
+        frame = frames.encode(departure)
+        for connection in list(self._connections):
+            if connection.takes_departures:
+                connection.write(frame)
+
+    def get_copy_holders(self) -> dict[str, str]:
+        """Returns the addresses and zones of the nodes that hold copies."""
+        return {
+            connection.address: connection.zone
+            for connection in self._connections
+            if connection.takes_departures
+        }
+
     def send_reports(self) -> None:
         """Sends a load report to the nodes whose turn it is."""
         receivers = list(self._connections)[: self._reports_per_round]
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/store_watcher.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/store_watcher.py
@@ -48,6 +48,7 @@
         their departure, by instance ID; in the order of the announcements.
     :ivar blocks: requests that were blocked after a crash of this node's endpoint, by
         fingerprint, in the order of the crashes.
+    :ivar on_record_written: called with each record that the store has acknowledged.
     """
 
     def __init__(
@@ -72,6 +73,7 @@
         self._has_peers = has_peers
         self._keeps_call_graph = keeps_call_graph
         self._is_listed = False
+        self._has_read_records = False
         self._record_count = 0
         self._write_due = asyncio.Event()
         self._written_edges: set[tuple[str, str, str]] = set()
@@ -79,8 +81,16 @@
         self.local_edges: tuple[call_graph.Edge, ...] = ()
         self.tombstones: dict[str, int] = {}
         self.blocks: dict[bytes, node_record.StoredBlock] = {}
+        self.on_record_written: Callable[[node_record.NodeRecord], None] = (
+            lambda record: None
+        )
         calls.add_restore_handler(self._handle_restore)
 
+    @property
+    def has_read_records(self) -> bool:
+        """Whether this node's former record is known and may be replaced."""
+        return self._has_read_records
+
     async def watch_node_records(self) -> None:
         """Reads the node records and updates this node's record until cancelled.
 
@@ -158,6 +168,7 @@
         )
         self._written_edges |= {edge[:3] for edge in record.edges}
         self._calls.check_restore()
+        self.on_record_written(record)
 
     async def _call_store(self, call: Callable[[], Awaitable[Result]]) -> Result:
         """Calls the store until a call succeeds, with exponential backoff."""
@@ -192,6 +203,7 @@
         Records with an empty value have been removed and are skipped.
         """
         self._is_listed = False
+        self._has_read_records = True
         self._record_count = len(records)
         for stored in records:
             if not stored.value:
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -12,6 +12,7 @@
     config_loader,
     config_sync,
     config_watcher,
+    departure_copies,
     frames,
     introduction,
     node_record,
@@ -26,6 +27,7 @@
 from .routing import call_graph, edge_sync, endpoint_directory, forwarder, subsetting
 from .serving import (
     announcements,
+    departure_recorder,
     endpoint_pool,
     endpoint_tracker,
     local_endpoint,
@@ -48,6 +50,7 @@
 OCCUPANCY_LINE_INTERVAL_S = 10.0
 EDGE_REFRESH_INTERVAL_S = 0.3
 CALL_GRAPH_KEEPER_COUNT = 3
+MAX_START_HOLD_S = 2.0
 
 DEFAULT_LIMITS = data.ClientLimits(16384, 64 * 1024 * 1024, 3.0, 15.0)
 ANNOUNCEMENT_LIMITS = DEFAULT_LIMITS._replace(max_body_bytes=64 * 1024)
@@ -127,6 +130,17 @@
             log,
             self._broadcast_state,
         )
+        # What arrives first may be a late announcement of an endpoint that left.
+        self._tracker.hold()
+        self._started_at = loop.time()
+        self._copies = departure_copies.DepartureCopies()
+        self._departures = departure_recorder.DepartureRecorder(
+            settings.zone,
+            self._store_watcher,
+            lambda departure: self._peer_server.send_departure(departure),
+            lambda: self._peer_server.get_copy_holders(),
+            log,
+        )
         self._graph = call_graph.CallGraph()
         self._edges = edge_sync.EdgeSync(self._graph, self._store_watcher, log)
         self._quotas = quota_sync.QuotaSync(
@@ -173,7 +187,7 @@
             platform,
             self._tracker,
             self._local_endpoint,
-            self._store_watcher,
+            self._departures,
             log,
             self._broadcast_state,
             self._handle_task_done,
@@ -317,6 +331,22 @@
         """Builds the message with all that this node knows about crashes."""
         return self._crash_reporter.build_handover()
 
+    def handle_departure(self, address: str, departure: frames.Departure) -> None:
+        """Holds a copy of a departure that a peer has announced."""
+        self._copies.add(address, departure.instance, departure.start_ms)
+
+    def get_departure_copies(self, address: str) -> list[frames.DepartureCopy]:
+        """Returns the copies that this node holds for the node at an address."""
+        return [frames.DepartureCopy(*entry) for entry in self._copies.get(address)]
+
+    def get_departures(self) -> list[frames.Departure]:
+        """Returns the departures beside this node that the store may not have."""
+        return self._departures.get_unstored()
+
+    def handle_departure_copy(self, address: str, copy: frames.DepartureCopy) -> None:
+        """Handles the message of a peer that it holds a copy of a departure."""
+        self._announcements.handle_copy(address, copy.instance, copy.start_ms)
+
     def handle_quota_request(
         self, sender: str, request: frames.QuotaRequest
     ) -> frames.QuotaReply | None:
@@ -453,6 +483,19 @@
         self._peers.tick(now)
         self._quotas.update_members(now)
         self._config_sync.tick(now)
+        self._check_hold(now)
+
+    def _check_hold(self, now: float) -> None:
+        """Lets the endpoint get requests once earlier departures are known.
+
+        Without the store and without peers, nobody can be asked.
+        """
+        if not self._tracker.is_held:
+            return
+        has_waited = now - self._started_at >= MAX_START_HOLD_S
+        if has_waited or self._config_sync.synchronized:
+            self._tracker.release()
+            self._broadcast_state()
 
     def _refresh_edges(self, now: float, elapsed_s: float) -> None:
         self._edges.refresh()
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/announcements.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/announcements.py
@@ -6,21 +6,21 @@
 
 from .. import data, interfaces
 from ..ingress import http1
-from ..membership import node_record, store_watcher
+from ..membership import node_record
 from ..telemetry import events
-from . import endpoint_tracker, local_endpoint
+from . import departure_recorder, endpoint_tracker, local_endpoint
 
-TOMBSTONE_WRITE_TIMEOUT_S = 0.4
 # The clock may have been set back since the endpoint's start.
 MAX_START_AHEAD_MS = 60_000
 UNKNOWN_START_MS = 0
+RETRY_HEADER = b"Retry-After: 0.5\r\n"
 
 
 class AnnouncementHandler:
     """Applies announcements, records departures and acknowledges both.
 
     :param ip: IP address of this VM; endpoints elsewhere are not beside this node.
-    :param watcher: writes the tombstones of endpoints that leave.
+    :param departures: records the departures of endpoints.
     :param on_change: called when the endpoint or its state has changed.
     :param on_task_done: called when a task that writes a tombstone has ended.
     """
@@ -32,7 +32,7 @@
         platform: interfaces.Platform,
         tracker: endpoint_tracker.EndpointTracker,
         endpoint: local_endpoint.LocalEndpoint,
-        watcher: store_watcher.StoreWatcher,
+        departures: departure_recorder.DepartureRecorder,
         log: events.EventLog,
         on_change: Callable[[], None],
         on_task_done: Callable[[asyncio.Task], None],
@@ -42,7 +42,7 @@
         self._platform = platform
         self._tracker = tracker
         self._local_endpoint = endpoint
-        self._store_watcher = watcher
+        self._departures = departures
         self._log = log
         self._on_change = on_change
         self._on_task_done = on_task_done
@@ -71,7 +71,8 @@
         previous = self._tracker.current
         accepted = self._tracker.apply(self._loop.time(), announcement)
         self._apply_change(previous, announcement, accepted)
-        if accepted and announcement.state is not data.EndpointState.READY:
+        is_departure = announcement.state is not data.EndpointState.READY
+        if is_departure and (accepted or self._tracker.has_left(announcement)):
             self._add_task(self._record_departure(connection, announcement))
             return
         acknowledge(connection)
@@ -95,7 +96,7 @@
             return
         self._tracker.mark_draining()
         self._apply_change(previous, previous, accepted=True)
-        self._add_task(self._write_tombstone(previous.instance, previous.start_ms))
+        self._add_task(self._departures.record(previous.instance, previous.start_ms))
 
     def _complete_departure(self, announcement: data.Announcement) -> data.Announcement:
         """Adds the start to the departure of an endpoint that this node does not know.
@@ -116,9 +117,34 @@
     def restore_tombstones(self, record: node_record.NodeRecord) -> None:
         """Restores the tombstones that this node wrote before it restarted."""
         for instance, start_ms in record.tombstones:
-            if self._store_watcher.tombstones.get(instance, -1) < start_ms:
-                self._store_watcher.tombstones[instance] = start_ms
-                self._tracker.add_tombstone(instance, start_ms)
+            if self._departures.restore(instance, start_ms):
+                self._apply_tombstone(instance, start_ms)
+
+    def handle_copy(self, address: str, instance: str, start_ms: int) -> None:
+        """Handles a copy of a departure that a peer holds for this node.
+
+        It is restored if it was announced before this node restarted.
+
+        :param address: address of the peer.
+        :param instance: instance ID of the endpoint.
+        :param start_ms: Unix time of its start, in milliseconds.
+        """
+        if not self._departures.handle_copy(address, instance, start_ms):
+            return
+        self._log.write(
+            "announce",
+            "Departure restored: a peer holds a copy.",
+            instance=instance,
+            peer=address,
+        )
+        self._apply_tombstone(instance, start_ms)
+
+    def _apply_tombstone(self, instance: str, start_ms: int) -> None:
+        """Applies the departure of an endpoint that may have been announced since."""
+        previous = self._tracker.current
+        self._tracker.add_tombstone(instance, start_ms)
+        if previous is not None:
+            self._apply_change(previous, previous, accepted=True)
 
     def close(self) -> None:
         """Cancels the writes that have not ended."""
@@ -128,36 +154,24 @@
     async def _record_departure(
         self, connection: http1.ServerConnection, announcement: data.Announcement
     ) -> None:
-        """Writes an endpoint's tombstone to the store, then acknowledges its departure.
+        """Records the departure of an endpoint, then acknowledges it.
 
-        Without the tombstone, a node that restarts would accept a late announcement of
-        the endpoint. The acknowledgement is sent even if the write fails or takes too
-        long, since this node itself already sends no new requests to the endpoint.
+        It is not acknowledged if it would be lost with this process: a node that
+        restarts would accept a late announcement of the endpoint.
         """
         current = self._tracker.current
-        start_ms = current.start_ms if current else announcement.start_ms
-        await self._write_tombstone(
-            announcement.instance, max(start_ms, announcement.start_ms)
-        )
-        acknowledge(connection)
-
-    async def _write_tombstone(self, instance: str, start_ms: int) -> None:
-        """Writes the tombstone of an endpoint to the store if that is not done yet.
-
-        :param start_ms: Unix time of the endpoint's start, in milliseconds.
-        """
-        if self._store_watcher.tombstones.get(instance, -1) >= start_ms:
+        start_ms = announcement.start_ms
+        if current is not None and current.instance == announcement.instance:
+            start_ms = max(start_ms, current.start_ms)
+        if await self._departures.record(announcement.instance, start_ms):
+            acknowledge(connection)
             return
-        self._store_watcher.tombstones[instance] = start_ms
-        try:
-            await asyncio.wait_for(
-                self._store_watcher.write_record(), TOMBSTONE_WRITE_TIMEOUT_S
-            )
-        except (TimeoutError, data.StoreError) as error:
-            self._log.write(
-                "announce", "Tombstone was not written to the store.", why=str(error)
-            )
-            self._store_watcher.schedule_write()
+        self._log.write(
+            "announce",
+            "Departure not acknowledged: neither the store nor a peer has it.",
+            instance=announcement.instance,
+        )
+        connection.send_status(503, RETRY_HEADER)
 
     def _add_task(self, coroutine: Coroutine[None, None, None]) -> None:
         task = self._loop.create_task(coroutine)
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_tracker.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_tracker.py
@@ -23,6 +23,12 @@
         self._current: data.Announcement | None = None
         self._last_announced_at = 0.0
         self._tombstones: dict[str, int] = {}
+        self._is_held = False
+
+    @property
+    def is_held(self) -> bool:
+        """Whether the endpoint gets no requests although it may be ready."""
+        return self._is_held
 
     @property
     def current(self) -> data.Announcement | None:
@@ -49,7 +55,7 @@
             return self._handle_gone(announcement)
         if announcement.service != self._service:
             return False
-        if self._tombstones.get(announcement.instance, -1) >= announcement.start_ms:
+        if self.has_left(announcement):
             return False
         current = self._current
         if current is not None:
@@ -72,6 +78,11 @@
         self._last_announced_at = now
         return True
 
+    def has_left(self, announcement: data.Announcement) -> bool:
+        """Returns whether the start that an announcement names has left before."""
+        newest_ms = self._tombstones.get(announcement.instance, -1)
+        return newest_ms >= announcement.start_ms
+
     def is_accepting(self, now: float) -> bool:
         """Returns whether the endpoint may get new requests.
 
@@ -82,8 +93,21 @@
         current = self._current
         if current is None or current.state is not data.EndpointState.READY:
             return False
+        if self._is_held:
+            return False
         return now - self._last_announced_at <= self._unresponsive_after_s
 
+    def hold(self) -> None:
+        """Accepts nothing until the departures before this node's start are known.
+
+        The first announcement that arrives may be a late one of an endpoint that left.
+        """
+        self._is_held = True
+
+    def release(self) -> None:
+        """Ends the hold."""
+        self._is_held = False
+
     def suspend(self) -> None:
         """Stops accepting requests until the next announcement.
 
@@ -104,7 +128,7 @@
         :param instance: instance ID of the endpoint.
         :param start_ms: Unix time of its start in milliseconds.
         """
-        self._tombstones[instance] = start_ms
+        self._tombstones[instance] = max(start_ms, self._tombstones.get(instance, -1))
         current = self._current
         if current is None or current.instance != instance:
             return
