A node that stops refuses what it is not expected to answer in time

Cause: only root requests were refused, by the clock, whatever they take.

What is left at the end is answered, 503 if it has not run.

Ruled out: refusing all calls from 2.9 s on, which fails requests that run for calls of milliseconds; a later end alone, which moves the cut.

--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/admission.py
@@ -99,6 +99,13 @@
             for shedder in self._shedders.values():
                 shedder.update_customer_shares({})
 
+    def get_known_occupancy_s(self, service: str, route: str) -> float | None:
+        """Returns the mean time of a request at an endpoint, nested calls included.
+
+        :returns: time in seconds; None before the first request was answered.
+        """
+        return self._occupancies_s.get((service, route))
+
     def get_admitted_shares(self) -> dict[str, dict[int, float]]:
         """Returns the admitted shares by service and rank, where they are limited."""
         return {
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/forwarder.py
@@ -95,6 +95,7 @@
         self._quota_gate = self._head_checker.quota_gate
         self._pending_count = 0
         self._stopping = False
+        self._ends_at: float | None = None
 
     @property
     def pending_count(self) -> int:
@@ -110,6 +111,15 @@
     def stopping(self, value: bool) -> None:
         self._stopping = value
 
+    @property
+    def ends_at(self) -> float | None:
+        """Time of the event loop at which a node that stops ends, in seconds."""
+        return self._ends_at
+
+    @ends_at.setter
+    def ends_at(self, value: float) -> None:
+        self._ends_at = value
+
     def set_config(self, config: data.Config) -> None:
         """Applies a config."""
         self._head_checker.set_config(config)
@@ -418,21 +428,41 @@
         header = b"Retry-After: %.3f\r\n" % retry_after_s
         pending.connection.send_status(status, header)
 
+    def end_request(self, pending: PendingRequest) -> None:
+        """Answers a request that has no response when the node ends."""
+        if pending.is_receiving:
+            self._head_checker.withdraw(pending)
+            self.refuse(pending, data.RefusalReason.STOPPING)
+            return
+        self._end_without_response(pending, 502, data.RefusalReason.STOPPING)
+
     def _handle_expiry(self, pending: PendingRequest) -> None:
         if pending.is_receiving:
             self.handle_body_failure(pending, incoming_body.BodyFailure.TIMEOUT)
             return
+        self._end_without_response(pending, 504, data.RefusalReason.TIMEOUT)
+
+    def _end_without_response(
+        self, pending: PendingRequest, status: int, reason: data.RefusalReason
+    ) -> None:
+        """Cancels the attempts of a request and answers it.
+
+        It is refused if it still waits at this node and cannot have run.
+
+        :param status: status code of the answer if it may have run.
+        """
         _, execution = pending.outstanding.get(
             endpoint_directory.LOCAL_NODE, (None, None)
         )
         is_queued = execution is not None and not execution.is_running
+        is_waiting = is_queued or not pending.outstanding
         self._cancel_outstanding(pending)
-        if is_queued and not pending.may_have_run:
-            self.refuse(pending, data.RefusalReason.TIMEOUT)
+        if is_waiting and not pending.may_have_run:
+            self.refuse(pending, reason)
             return
         self._release(pending)
-        self._record_own_response(pending, 504, data.RefusalReason.TIMEOUT)
-        pending.connection.send_status(504)
+        self._record_own_response(pending, status, reason)
+        pending.connection.send_status(status)
 
     def _cancel_outstanding(self, pending: PendingRequest) -> None:
         if not pending.outstanding:
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/head_checker.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/head_checker.py
@@ -19,6 +19,7 @@
     request_head,
     route_table,
     share_gate,
+    stop_deadline,
 )
 
 EXPIRY_MARGIN_S = 0.01
@@ -39,6 +40,14 @@
     def stopping(self) -> bool:
         """Whether root requests are refused because the node stops."""
 
+    @property
+    @abc.abstractmethod
+    def ends_at(self) -> float | None:
+        """Time of the event loop at which a node that stops ends, in seconds.
+
+        None while it does not stop.
+        """
+
     @abc.abstractmethod
     def accept(self, pending: pending_request.PendingRequest) -> None:
         """Handles a request that is accepted by its head."""
@@ -188,6 +197,8 @@
             return data.RefusalReason.NO_MEMORY
         if self._handler.stopping and not pending.is_nested_call:
             return data.RefusalReason.STOPPING
+        if not self._can_finish(pending, now):
+            return data.RefusalReason.STOPPING
         if pending.request.incoming_body is None:
             if self._handler.is_blocked(pending, now):
                 return data.RefusalReason.BLOCKED
@@ -195,6 +206,16 @@
             return data.RefusalReason.NO_MEMORY
         return None
 
+    def _can_finish(self, pending: pending_request.PendingRequest, now: float) -> bool:
+        """Returns whether a request will be answered before a node that stops ends."""
+        ends_at = self._handler.ends_at
+        if ends_at is None:
+            return True
+        mean_s = self._admission.get_known_occupancy_s(
+            pending.service, pending.route.name
+        )
+        return stop_deadline.can_finish(now, ends_at, pending.expires_at, mean_s)
+
     def _admit(self, pending: pending_request.PendingRequest) -> None:
         """Accepts a request unless a service it needs lacks capacity."""
         reason = share_gate.admit(self._admission, pending, self._loop.time())
--- a/packages/catkintiller-relay/src/catkintiller_relay/routing/head_checker_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/routing/head_checker_test.py
@@ -10,6 +10,7 @@
 
 HOST = (b"host", b"a")
 KEY = (NAMES.credentials, b"Token k1")
+MEAN_S = 0.5
 LIMITED = CUSTOMER._replace(rate_per_s=1.0)
 
 
@@ -34,6 +35,10 @@
     def refuse_by_share(self, *request: object) -> None:
         """Returns that the customer has no share of its own."""
 
+    def get_known_occupancy_s(self, service: str, route: str) -> float | None:
+        """Returns the mean time of all routes, in seconds."""
+        return MEAN_S
+
     def withdraw_request(self, *request: object) -> None:
         """Returns a place."""
         self.admitted_count -= 1
@@ -108,6 +113,7 @@
         self.blocked = False
         self.decisions: list = []
         self._stopping = False
+        self._ends_at: float | None = None
         self.checker = head_checker.HeadChecker(
             loop,
             NAMES,
@@ -132,6 +138,11 @@
         """Whether the node stops."""
         return self._stopping
 
+    @property
+    def ends_at(self) -> float | None:
+        """When the node ends."""
+        return self._ends_at
+
     def accept(self, pending: pending_request.PendingRequest) -> None:
         """Records an accepted request."""
         self.decisions.append("accept")
@@ -227,6 +238,30 @@
         assert checker.decisions == [data.RefusalReason.BLOCKED, "accept"]
 
 
+class TestStop:
+    """A node that stops accepts only what it can still answer."""
+
+    def test_request_that_will_not_end_in_time_is_refused(self) -> None:
+        checker = build_checker()
+        checker._ends_at = checker.now + MEAN_S
+        pending = checker.check()
+        assert pending.expires_at > checker._ends_at
+        assert checker.decisions == [data.RefusalReason.STOPPING]
+        assert checker.connection.reserve_count == 0
+
+    def test_request_with_a_short_deadline_is_accepted(self) -> None:
+        checker = build_checker()
+        checker._ends_at = checker.now + 2 * MEAN_S
+        checker.check((NAMES.deadline, b"%d" % (MEAN_S * 1000)))
+        assert checker.decisions == ["accept"]
+
+    def test_request_is_accepted_while_there_is_time(self) -> None:
+        checker = build_checker()
+        checker._ends_at = checker.now + 10 * MEAN_S
+        checker.check()
+        assert checker.decisions == ["accept"]
+
+
 class TestWithdrawal:
     """What was taken on the head is given back if the body never completes."""
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
@@ -9,7 +9,7 @@
 
 from .. import data
 from ..crashes import crash, crash_reporter
-from ..routing import call_graph
+from ..routing import call_graph, stop_deadline
 from . import (
     attempts,
     endpoint_client,
@@ -56,6 +56,8 @@
     :ivar queue: requests that are queued for the endpoint.
     :ivar service_times: service times of the endpoint by route.
     :ivar stopping: whether this node is about to stop.
+    :ivar ends_at: time of the event loop at which this node ends, in seconds; None
+        while it does not stop.
     :ivar lame_duck_ended: whether this node no longer accepts requests as a lame duck.
     """
 
@@ -89,6 +91,7 @@
         self.queue.await_first_response()
         self.service_times = service_times.ServiceTimes()
         self.stopping = False
+        self.ends_at: float | None = None
         self.lame_duck_ended = False
 
     @property
@@ -127,6 +130,9 @@
         if current.service != attempt.service:
             self._refuse(execution, data.RefusalReason.WRONG_SERVICE)
             return execution
+        if not self._can_finish(execution, now):
+            self._refuse(execution, data.RefusalReason.ENDPOINT_LEAVING)
+            return execution
         self._enqueue(execution, now)
         return execution
 
@@ -202,6 +208,13 @@
             execution.queue_number = queue_number
             self._schedule_run(now)
 
+    def _can_finish(self, execution: attempts.Execution, now: float) -> bool:
+        """Returns whether an attempt will end before this node, if it stops."""
+        if self.ends_at is None:
+            return True
+        mean_s = self.service_times.get_occupancy_s(execution.attempt.route)
+        return stop_deadline.can_finish(now, self.ends_at, execution.deadline, mean_s)
+
     def _start_or_wait(self, execution: attempts.Execution, now: float) -> None:
         """Starts an attempt that got a slot, unless it may not run beside others."""
         execution.queue_number = None
--- a/packages/catkintiller-relay/src/catkintiller_relay/shutdown.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/shutdown.py
@@ -49,12 +49,14 @@
         """Starts the shutdown: tells the peers that this node will stop."""
         self._endpoint.stopping = True
         self._started_at = self._loop.time()
+        ends_at = self._started_at + self._grace_s - KILL_MARGIN_S
+        self._endpoint.ends_at = self._forwarder.ends_at = ends_at
         self._broadcast_state()
 
     async def serve_pending(self) -> None:
         """Serves the pending requests as far as the time allows."""
         close_at = self._started_at + MIN_SHUTDOWN_S
-        latest_end_at = self._started_at + self._grace_s - KILL_MARGIN_S
+        latest_end_at = self._forwarder.ends_at
         while True:
             now = self._loop.time()
             if now >= latest_end_at or (now >= close_at and not self._is_busy()):
@@ -64,6 +66,7 @@
             if now >= close_at:
                 self._server.closing = True
             await asyncio.sleep(CHECK_INTERVAL_S)
+        self._end_requests()
         self._server.stop_listening()
         self._server.close_idle()
         await asyncio.sleep(REPLY_FLUSH_S)
@@ -79,6 +82,12 @@
             or self._peer_server.is_transferring_body
         )
 
+    def _end_requests(self) -> None:
+        """Answers the requests that could not be served in time."""
+        for connection in list(self._server.connections):
+            if connection.pending is not None:
+                self._forwarder.end_request(connection.pending)
+
     def _refuse_root_requests(self) -> None:
         if self._endpoint.lame_duck_ended:
             return
