Limits of responses, exchanges and departures have modules of their own

The node and its observers reach departures through one object (departure_exchange) instead of four methods.

--- a/packages/catkintiller-relay/src/catkintiller_relay/crashes/crash_detector.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/crashes/crash_detector.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from .. import data
-from ..serving import endpoint_client
+from ..serving import endpoint_exchange
 
 # Time in which the ends of all connections of a crashed endpoint are noticed.
 CLOSE_WAIT_S = 0.05
@@ -40,11 +40,11 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, probe: EndpointProbe) -> None:
         self._loop = loop
         self._probe = probe
-        self._lost: list[endpoint_client.Exchange] = []
+        self._lost: list[endpoint_exchange.Exchange] = []
         self._check: asyncio.Task | None = None
         self.on_crash: Callable[[], None] | None = None
 
-    def handle_lost(self, exchange: endpoint_client.Exchange) -> None:
+    def handle_lost(self, exchange: endpoint_exchange.Exchange) -> None:
         """Handles a request whose connection ended before its response."""
         self._lost.append(exchange)
         if self._check is None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/crashes/crash_detector_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/crashes/crash_detector_test.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from .. import data
-from ..serving import endpoint_client
+from ..serving import endpoint_exchange
 from . import crash_detector
 
 
@@ -50,7 +50,7 @@
         detector = crash_detector.CrashDetector(asyncio.get_running_loop(), probe)
         detector.on_crash = handle_crash
         for number in range(count):
-            exchange = endpoint_client.Exchange(
+            exchange = endpoint_exchange.Exchange(
                 b"%d" % number,
                 b"",
                 lambda outcome, reason, *_: events.append(
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/connections.py
@@ -299,10 +299,9 @@
         elif isinstance(message, frames.QuotaReply):
             self._observer.handle_quota_reply(self.address, message)
         elif isinstance(message, frames.Departure):
-            self._observer.handle_departure(self.address, message)
-            self._send_copy(frames.DepartureCopy(message.instance, message.start_ms))
+            self._send_copy(self._observer.departures.hold(self.address, message))
         elif isinstance(message, frames.DepartureCopy):
-            self._observer.handle_departure_copy(self.address, message)
+            self._observer.departures.handle_copy(self.address, message)
 
     def _hand_over_copies(self) -> None:
         """Sends the copies of the peer's departures, once on each connection."""
@@ -310,7 +309,7 @@
         if connection is self._informed_connection or not self.handles_departures:
             return
         self._informed_connection = connection
-        for copy in self._observer.get_departure_copies(self.address):
+        for copy in self._observer.departures.get_copies(self.address):
             self._send_copy(copy)
 
     def _send_copy(self, copy: frames.DepartureCopy) -> None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/frames_test.py
@@ -7,7 +7,7 @@
 import pytest
 
 from .. import data
-from . import connections, frames, peer_observer
+from . import connections, departure_exchange, frames, peer_observer
 
 DEMAND_KEYS = [(f"service-{number}", rank) for number in range(4) for rank in range(3)]
 
@@ -200,19 +200,10 @@
         """Returns nothing."""
         return None
 
-    def handle_departure(self, address: str, departure: frames.Departure) -> None:
-        """Ignores a departure."""
-
-    def get_departure_copies(self, address: str) -> list[frames.DepartureCopy]:
-        """Returns no copies."""
-        return []
-
-    def get_departures(self) -> list[frames.Departure]:
-        """Returns no departures."""
-        return []
-
-    def handle_departure_copy(self, address: str, copy: frames.DepartureCopy) -> None:
-        """Ignores a copy."""
+    @property
+    def departures(self) -> departure_exchange.DepartureExchange:
+        """Holds copies and has no departures of its own."""
+        return departure_exchange.DepartureExchange(list, lambda address, copy: None)
 
     def handle_quota_request(
         self, sender: str, request: frames.QuotaRequest
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_observer.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_observer.py
@@ -2,7 +2,7 @@
 
 import abc
 
-from . import frames
+from . import departure_exchange, frames
 
 
 class PeerObserver(abc.ABC):
@@ -70,27 +70,10 @@
     def handle_quota_reply(self, address: str, reply: frames.QuotaReply) -> None:
         """Handles the reply of a peer to a request for tokens."""
 
+    @property
     @abc.abstractmethod
-    def handle_departure(self, address: str, departure: frames.Departure) -> None:
-        """Holds a copy of a departure that a peer has announced.
-
-        :param address: address of the peer.
-        """
-
-    @abc.abstractmethod
-    def get_departure_copies(self, address: str) -> list[frames.DepartureCopy]:
-        """Returns the copies that this node holds for the node at an address."""
-
-    @abc.abstractmethod
-    def get_departures(self) -> list[frames.Departure]:
-        """Returns the departures that the endpoint beside this node has announced."""
-
-    @abc.abstractmethod
-    def handle_departure_copy(self, address: str, copy: frames.DepartureCopy) -> None:
-        """Handles the message of a peer that it holds a copy of a departure.
-
-        :param address: address of the peer.
-        """
+    def departures(self) -> departure_exchange.DepartureExchange:
+        """Departures of endpoints that nodes hold for each other."""
 
     @abc.abstractmethod
     def build_crash_handover(self) -> frames.CrashReport | None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/membership/peer_server.py
@@ -120,7 +120,7 @@
             elif type(message) is frames.ConfigRead:
                 self._server.observer.handle_config_read(message)
             elif type(message) is frames.DepartureCopy:
-                self._server.observer.handle_departure_copy(self.address, message)
+                self._server.observer.departures.handle_copy(self.address, message)
             elif type(message) is frames.QuotaRequest:
                 self._handle_quota_request(message)
             elif type(message) is frames.BodyHello:
@@ -158,10 +158,10 @@
 
     def _exchange_departures(self) -> None:
         """Lets the peer hold this node's departures, and hands over its own."""
-        observer = self._server.observer
-        for departure in observer.get_departures():
+        departures = self._server.observer.departures
+        for departure in departures.get_own():
             self.send(departure)
-        for copy in observer.get_departure_copies(self.address):
+        for copy in departures.get_copies(self.address):
             self.send(copy)
 
     def _handle_body_hello(self, message: frames.BodyHello) -> None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/node.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/node.py
@@ -12,7 +12,7 @@
     config_loader,
     config_sync,
     config_watcher,
-    departure_copies,
+    departure_exchange,
     frames,
     introduction,
     node_record,
@@ -133,8 +133,7 @@
         # What arrives first may be a late announcement of an endpoint that left.
         self._tracker.hold()
         self._started_at = loop.time()
-        self._copies = departure_copies.DepartureCopies()
-        self._departures = departure_recorder.DepartureRecorder(
+        self._departure_recorder = departure_recorder.DepartureRecorder(
             settings.zone,
             self._store_watcher,
             lambda departure: self._peer_server.send_departure(departure),
@@ -187,11 +186,14 @@
             platform,
             self._tracker,
             self._local_endpoint,
-            self._departures,
+            self._departure_recorder,
             log,
             self._broadcast_state,
             self._handle_task_done,
         )
+        self._departures = departure_exchange.DepartureExchange(
+            self._departure_recorder.get_unstored, self._announcements.handle_copy
+        )
         self._endpoints = endpoint_directory.EndpointDirectory(
             settings, self._local_endpoint, self._peers
         )
@@ -257,6 +259,11 @@
             and not self._local_endpoint.stopping
         )
 
+    @property
+    def departures(self) -> departure_exchange.DepartureExchange:
+        """Departures of endpoints that nodes hold for each other."""
+        return self._departures
+
     async def run(self) -> None:
         """Serves until a signal stops the node or one of its tasks fails.
 
@@ -331,22 +338,6 @@
         """Builds the message with all that this node knows about crashes."""
         return self._crash_reporter.build_handover()
 
-    def handle_departure(self, address: str, departure: frames.Departure) -> None:
-        """Holds a copy of a departure that a peer has announced."""
-        self._copies.add(address, departure.instance, departure.start_ms)
-
-    def get_departure_copies(self, address: str) -> list[frames.DepartureCopy]:
-        """Returns the copies that this node holds for the node at an address."""
-        return [frames.DepartureCopy(*entry) for entry in self._copies.get(address)]
-
-    def get_departures(self) -> list[frames.Departure]:
-        """Returns the departures beside this node that the store may not have."""
-        return self._departures.get_unstored()
-
-    def handle_departure_copy(self, address: str, copy: frames.DepartureCopy) -> None:
-        """Handles the message of a peer that it holds a copy of a departure."""
-        self._announcements.handle_copy(address, copy.instance, copy.start_ms)
-
     def handle_quota_request(
         self, sender: str, request: frames.QuotaRequest
     ) -> frames.QuotaReply | None:
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/announcements.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/announcements.py
@@ -6,7 +6,7 @@
 
 from .. import data, interfaces
 from ..ingress import http1
-from ..membership import node_record
+from ..membership import frames, node_record
 from ..telemetry import events
 from . import departure_recorder, endpoint_tracker, local_endpoint
 
@@ -120,24 +120,22 @@
             if self._departures.restore(instance, start_ms):
                 self._apply_tombstone(instance, start_ms)
 
-    def handle_copy(self, address: str, instance: str, start_ms: int) -> None:
+    def handle_copy(self, address: str, copy: frames.DepartureCopy) -> None:
         """Handles a copy of a departure that a peer holds for this node.
 
         It is restored if it was announced before this node restarted.
 
         :param address: address of the peer.
-        :param instance: instance ID of the endpoint.
-        :param start_ms: Unix time of its start, in milliseconds.
         """
-        if not self._departures.handle_copy(address, instance, start_ms):
+        if not self._departures.handle_copy(address, copy):
             return
         self._log.write(
             "announce",
             "Departure restored: a peer holds a copy.",
-            instance=instance,
+            instance=copy.instance,
             peer=address,
         )
-        self._apply_tombstone(instance, start_ms)
+        self._apply_tombstone(copy.instance, copy.start_ms)
 
     def _apply_tombstone(self, instance: str, start_ms: int) -> None:
         """Applies the departure of an endpoint that may have been announced since."""
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/attempts.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/attempts.py
@@ -6,7 +6,7 @@
 
 from .. import data
 from ..routing import call_graph
-from . import endpoint_client
+from . import endpoint_exchange
 
 
 class Attempt(msgspec.Struct, frozen=True):
@@ -91,7 +91,7 @@
     ) -> None:
         self.attempt = attempt
         self.on_complete: Callable[[AttemptResult], None] | None = on_complete
-        self.exchange: endpoint_client.Exchange | None = None
+        self.exchange: endpoint_exchange.Exchange | None = None
         self.queue_number: int | None = None
         self.running_request: call_graph.RunningRequest | None = None
         self.is_running = False
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/departure_recorder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/departure_recorder.py
@@ -91,7 +91,7 @@
         tombstones[instance] = start_ms
         return True
 
-    def handle_copy(self, address: str, instance: str, start_ms: int) -> bool:
+    def handle_copy(self, address: str, copy: frames.DepartureCopy) -> bool:
         """Handles the message of a node that it holds a copy of a departure.
 
         A departure from before this node restarted may not be in the store.
@@ -99,12 +99,13 @@
         :param address: address of the node.
         :returns: whether the departure was not known.
         """
-        is_new = self._store_watcher.tombstones.get(instance, -1) < start_ms
+        known_ms = self._store_watcher.tombstones.get(copy.instance, -1)
+        is_new = known_ms < copy.start_ms
         if is_new:
-            self._begin(instance, start_ms)
+            self._begin(copy.instance, copy.start_ms)
             self._store_watcher.schedule_write()
-        departure = self._departures.get(instance)
-        if departure is not None and departure.start_ms <= start_ms:
+        departure = self._departures.get(copy.instance)
+        if departure is not None and departure.start_ms <= copy.start_ms:
             departure.holders.add(address)
             self._check_copies(departure)
         return is_new
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/departure_recorder_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/departure_recorder_test.py
@@ -73,7 +73,12 @@
     def copy(self, *addresses: str, start_ms: int = START_MS) -> None:
         """Lets nodes say that they hold a copy."""
         for address in addresses:
-            self.recorder.handle_copy(address, INSTANCE, start_ms)
+            self.hold_copy(address, start_ms)
+
+    def hold_copy(self, address: str, start_ms: int = START_MS) -> bool:
+        """Lets a node say that it holds a copy; returns whether it is news."""
+        copy = frames.DepartureCopy(INSTANCE, start_ms)
+        return self.recorder.handle_copy(address, copy)
 
     async def record(self, start_ms: int = START_MS) -> bool:
         """Records the departure."""
@@ -207,8 +212,8 @@
 
     def test_unknown_departure_is_new(self) -> None:
         async def test(scene: Scene) -> None:
-            assert scene.recorder.handle_copy("10.0.0.1:1", INSTANCE, START_MS)
-            assert not scene.recorder.handle_copy("10.0.0.2:1", INSTANCE, START_MS)
+            assert scene.hold_copy("10.0.0.1:1")
+            assert not scene.hold_copy("10.0.0.2:1")
             assert scene.watcher.tombstones == {INSTANCE: START_MS}
             assert scene.sent == [frames.Departure(INSTANCE, START_MS)]
 
@@ -218,7 +223,7 @@
         async def test(scene: Scene) -> None:
             assert scene.recorder.restore(INSTANCE, START_MS)
             assert not scene.recorder.restore(INSTANCE, START_MS)
-            assert not scene.recorder.handle_copy("10.0.0.1:1", INSTANCE, START_MS)
-            assert scene.recorder.handle_copy("10.0.0.1:1", INSTANCE, START_MS + 1)
+            assert not scene.hold_copy("10.0.0.1:1")
+            assert scene.hold_copy("10.0.0.1:1", START_MS + 1)
 
         play(test)
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/early_response_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/early_response_test.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 from .. import data
-from . import endpoint_client, endpoint_pool
+from . import endpoint_exchange, endpoint_pool
 from .endpoint_client_test import HEADERS, TIMEOUT_S, Completion, build_budget
 
 BODY = b"u" * 20_000_000  # more than the buffers of the kernel hold
@@ -49,7 +49,7 @@
     """Sends a request and returns how it was completed."""
     completed = asyncio.get_running_loop().create_future()
     head = b"POST / HTTP/1.1\r\nHost: a\r\nx-id: id\r\nContent-Length: %d\r\n\r\n"
-    exchange = endpoint_client.Exchange(
+    exchange = endpoint_exchange.Exchange(
         b"id",
         head % len(body),
         lambda *fields: completed.set_result(Completion(*fields)),
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endless_response_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endless_response_test.py
@@ -13,13 +13,19 @@
 
 from .. import data
 from ..ingress import body_budget, message_limits
-from . import endpoint_client, endpoint_client_test, endpoint_pool
+from . import (
+    endpoint_client,
+    endpoint_client_test,
+    endpoint_exchange,
+    endpoint_pool,
+    response_meter,
+)
 
 REQUEST_ID = b"id0"
 MEMORY_MB = 300
 PIECE_BYTES = 64 * 1024
 GIVE_UP_AFTER_BYTES = 96 * 1024 * 1024
-MAX_BODY_BYTES = endpoint_client.MAX_RESPONSE_BODY_BYTES
+MAX_BODY_BYTES = response_meter.MAX_BODY_BYTES
 # What one body may take: its content, the spare room of a growing buffer, and pieces.
 MAX_HELD_BYTES = MAX_BODY_BYTES * 9 // 8 + 1024 * 1024
 MAX_HELD_BY_SMALL_PARTS_BYTES = 4 * 1024 * 1024
@@ -82,7 +88,7 @@
         self.connection = endpoint_client.EndpointConnection(pool)
         self._transport = SilentTransport()
         self.connection.connection_made(self._transport)
-        exchange = endpoint_client.Exchange(REQUEST_ID, b"", self._complete)
+        exchange = endpoint_exchange.Exchange(REQUEST_ID, b"", self._complete)
         self.connection.send(exchange, 0.0)
 
     @property
@@ -187,7 +193,7 @@
         stray = STRAY_HEAD % body_bytes + b"a" * body_bytes
         result = receive_endlessly(b"", stray)
         count = result.received_bytes // len(stray)
-        assert count <= endpoint_client.MAX_STRAY_RESPONSE_COUNT + (
+        assert count <= response_meter.MAX_STRAY_COUNT + (
             2 * PIECE_BYTES // len(stray) + 2
         )
         assert result.reason is data.RefusalReason.BROKEN_ANSWER
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
@@ -7,28 +7,22 @@
 import abc
 import asyncio
 import functools
-from collections.abc import Callable
 
 import httptools
 
 from .. import data, part_buffer, sockets
 from ..ingress import body_budget, message_limits
-from . import response_notices
+from . import endpoint_exchange, response_meter, response_notices
 
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 KEEP_ALIVE_MARGIN_S = 1.5
 # Refusals after which a connection is not used again, since it remembers no more.
 MAX_REFUSALS = 64
-MAX_RESPONSE_BODY_BYTES = 32 * 1024 * 1024
 # A response up to this size is taken without room: its request has run.
 MAX_UNRESERVED_BODY_BYTES = 64 * 1024
 # Bodies up to this size are sent in one piece with their heads.
 MAX_JOINED_BODY_BYTES = 32 * 1024
 BODY_PIECE_BYTES = 64 * 1024
-# Complete responses before the expected one that match no request. Their bodies and
-# the expected one may have twice the length of the longest body.
-MAX_STRAY_RESPONSE_COUNT = 16
-MAX_RECEIVED_CONTENT_BYTES = 2 * MAX_RESPONSE_BODY_BYTES
 
 _DROPPED_HEADERS = frozenset(
     (
@@ -50,75 +44,6 @@
     b"transfer-encoding",
 )
 
-CompletionHandler = Callable[
-    [data.Outcome, data.RefusalReason | None, int, bytes, bytes], None
-]
-NoticeCallback = Callable[[response_notices.Notice], None]
-
-
-class Exchange:
-    """One request to the endpoint and its response.
-
-    :param request_id: identity that the response must repeat.
-    :param message: encoded head of the request with the empty line at its end, and any
-        body that is not passed separately.
-    :param body: body that is sent after the message.
-    :param on_notice: called with the notice in the response's head, before
-        ``on_complete``; not called for a response of another endpoint.
-    :ivar on_complete: called once with outcome, reason, status, head and body; None
-        after that or after a cancel.
-    :ivar on_notice: None after that, too.
-    :ivar started_at: time of the event loop when it was sent, in seconds.
-    :ivar connection: connection that carries it, if any.
-    """
-
-    __slots__ = (
-        "body",
-        "connection",
-        "message",
-        "on_complete",
-        "on_notice",
-        "request_id",
-        "started_at",
-    )
-
-    def __init__(
-        self,
-        request_id: bytes,
-        message: bytes,
-        on_complete: CompletionHandler,
-        on_notice: NoticeCallback | None = None,
-        body: bytes = b"",
-    ) -> None:
-        self.request_id = request_id
-        self.body = body
-        self.message = message
-        self.on_complete: CompletionHandler | None = on_complete
-        self.on_notice = on_notice
-        self.started_at = 0.0
-        self.connection: EndpointConnection | None = None
-
-    def complete(
-        self,
-        outcome: data.Outcome,
-        reason: data.RefusalReason | None = None,
-        status: int = 0,
-        head: bytes = b"",
-        body: bytes = b"",
-    ) -> None:
-        """Passes the outcome to the completion handler, the first time only."""
-        on_complete, self.on_complete = self.on_complete, None
-        self.on_notice = None
-        if on_complete is not None:
-            on_complete(outcome, reason, status, head, body)
-
-    def cancel(self) -> None:
-        """Aborts the request without calling the completion handler."""
-        self.on_complete = None
-        self.on_notice = None
-        if self.connection is not None:
-            self.connection.abort()
-
 
 class ConnectionOwner(abc.ABC):
     """Owns the connections to the endpoint and is told what happens to them.
@@ -143,7 +68,7 @@
         """Takes back an idle connection."""
 
     @abc.abstractmethod
-    def handle_lost(self, exchange: Exchange) -> None:
+    def handle_lost(self, exchange: endpoint_exchange.Exchange) -> None:
         """Handles a request whose connection ended before its response."""
 
     @abc.abstractmethod
@@ -159,7 +84,7 @@
         """
 
 
-class EndpointConnection(asyncio.Protocol):
+class EndpointConnection(asyncio.Protocol, endpoint_exchange.Connection):
     """One connection to the endpoint.
 
     :param owner: owner of all connections to the endpoint.
@@ -173,9 +98,8 @@
         self._carried_count = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
-        self._exchange: Exchange | None = None
+        self._exchange: endpoint_exchange.Exchange | None = None
         self._interpreted_names = get_interpreted_names(owner.header_names)
-        self._header_count = 0
         self._headers: list[tuple[bytes, bytes]] = []
         self._forwarded_lines: list[bytes] = []
         self._values: dict[bytes, bytes] = {}
@@ -186,10 +110,7 @@
         self._writing_paused = False
         self._sends_body = False
         self._was_cut_off = False
-        self._received_bytes = 0
-        self._content_bytes = 0
-        self._part_count = 0
-        self._stray_count = 0
+        self._meter = response_meter.ResponseMeter()
         self._head_complete = False
         self.idle_since = 0.0
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
@@ -236,7 +157,7 @@
         if self._exchange is None:
             self.abort()
             return
-        self._received_bytes += len(received)
+        self._meter.received_bytes += len(received)
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserCallbackError:
@@ -245,7 +166,7 @@
             self._fail(data.RefusalReason.BROKEN_ANSWER)
             self.abort()
             return
-        if self._exchange is not None and self._is_excessive():
+        if self._exchange is not None and self._meter.is_excessive:
             self._fail(data.RefusalReason.BROKEN_ANSWER)
             self.abort()
 
@@ -261,8 +182,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Appends a header, or a trailer; those above the limit are not held."""
-        self._header_count += 1
-        if self._header_count > message_limits.MAX_HEADER_COUNT:
+        self._meter.header_count += 1
+        if self._meter.header_count > message_limits.MAX_HEADER_COUNT:
             return
         lower_name = name.lower()
         if lower_name in self._interpreted_names:
@@ -299,13 +220,14 @@
         if self._exchange is None:
             return
         part_bytes = len(chunk)
-        self._content_bytes += part_bytes
-        self._part_count += 1
+        meter = self._meter
+        meter.content_bytes += part_bytes
+        meter.part_count += 1
         body_bytes = len(self._body) + part_bytes
         budget = self._owner.budget
         if body_bytes <= MAX_UNRESERVED_BODY_BYTES:
             budget.take(part_bytes)
-        elif body_bytes > MAX_RESPONSE_BODY_BYTES or not self._reserve(part_bytes):
+        elif not self._reserve(part_bytes):
             self.end_for_memory()
             return
         self._reserved_bytes += part_bytes
@@ -325,17 +247,14 @@
         """
         return request_id in self._refused_ids
 
-    def send(self, exchange: Exchange, now: float) -> None:
+    def send(self, exchange: endpoint_exchange.Exchange, now: float) -> None:
         """Sends a request on this idle connection.
 
         :param now: time of the event loop in seconds.
         """
         self._carried_count += 1
         self._exchange = exchange
-        self._received_bytes = 0
-        self._content_bytes = 0
-        self._part_count = 0
-        self._stray_count = 0
+        self._meter = response_meter.ResponseMeter()
         exchange.connection = self
         exchange.started_at = now
         body = exchange.body
@@ -395,10 +314,12 @@
             self._unsent_body = None
 
     def _reserve(self, count: int) -> bool:
-        """Reserves room for a part of the body; returns whether there is enough.
+        """Reserves room for a part of the body; returns whether it may be taken.
 
         A body that may have no end does not take the room of shorter ones.
         """
+        if len(self._body) + count > response_meter.MAX_BODY_BYTES:
+            return False
         budget = self._owner.budget
         return budget.reserve(count) or (
             self._owner.make_room(len(self._body)) and budget.reserve(count)
@@ -416,7 +337,7 @@
             or status == response_notices.MISDIRECTED_REQUEST_STATUS
         )
 
-    def _is_response_to(self, exchange: Exchange) -> bool:
+    def _is_response_to(self, exchange: endpoint_exchange.Exchange) -> bool:
         """Returns whether the response is for the exchange's request.
 
         A response that says that the request did not run may lack the request ID. On
@@ -437,7 +358,7 @@
         if not self._is_response_to(exchange):
             # The response is for another request; the expected one may still follow.
             self._owner.count_stray_response()
-            self._stray_count += 1
+            self._meter.stray_count += 1
             if not reusable or header_names.request_id not in headers:
                 self._fail(data.RefusalReason.BROKEN_ANSWER)
                 self.abort()
@@ -489,20 +410,9 @@
         is_kept = reusable and self.idle_timeout_s > 0
         return is_kept and remembers_refusals and self.usable
 
-    def _is_excessive(self) -> bool:
-        """Returns whether no sound endpoint would send what has arrived."""
-        content_bytes = self._content_bytes
-        return (
-            message_limits.is_overhead_excessive(self._received_bytes, content_bytes)
-            or message_limits.are_parts_too_small(self._part_count, content_bytes)
-            or self._header_count > message_limits.MAX_HEADER_COUNT
-            or self._stray_count > MAX_STRAY_RESPONSE_COUNT
-            or content_bytes > MAX_RECEIVED_CONTENT_BYTES
-        )
-
     def _drop_message(self) -> None:
         """Drops what has arrived of a response, and gives its room back."""
-        self._header_count = 0
+        self._meter.header_count = 0
         self._headers = []
         self._values = {}
         self._reason_phrase = b""
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client_test.py
@@ -6,7 +6,13 @@
 
 from .. import data
 from ..ingress import body_budget
-from . import endpoint_client, endpoint_pool, response_notices
+from . import (
+    endpoint_client,
+    endpoint_exchange,
+    endpoint_pool,
+    response_meter,
+    response_notices,
+)
 
 HEADERS = data.HeaderNames(
     b"x-id",
@@ -72,7 +78,7 @@
             completed = loop.create_future()
             message = b"GET / HTTP/1.1\r\nHost: a\r\nx-id: " + request_id + b"\r\n\r\n"
             pool.send(
-                endpoint_client.Exchange(
+                endpoint_exchange.Exchange(
                     request_id,
                     message,
                     lambda *fields, future=completed: future.set_result(
@@ -234,7 +240,7 @@
             )
             completed = loop.create_future()
             pool.send(
-                endpoint_client.Exchange(
+                endpoint_exchange.Exchange(
                     b"id",
                     b"GET",
                     lambda *fields: completed.set_result(Completion(*fields)),
@@ -324,14 +330,14 @@
         self.check(
             HEAD + b"\r\n",
             b"a",
-            endpoint_client.MAX_RESPONSE_BODY_BYTES + MAX_SENT_BEFORE_CLOSE_BYTES,
+            response_meter.MAX_BODY_BYTES + MAX_SENT_BEFORE_CLOSE_BYTES,
         )
 
     def test_chunks(self) -> None:
         self.check(
             CHUNKED_HEAD,
             b"400\r\n" + b"a" * 0x400 + b"\r\n",
-            endpoint_client.MAX_RESPONSE_BODY_BYTES + MAX_SENT_BEFORE_CLOSE_BYTES,
+            response_meter.MAX_BODY_BYTES + MAX_SENT_BEFORE_CLOSE_BYTES,
         )
 
     def test_small_chunks_are_no_fault(self) -> None:
@@ -364,7 +370,7 @@
             for number in range(endpoint_pool.MAX_FAILED_CONNECTS):
                 completed = loop.create_future()
                 pool.send(
-                    endpoint_client.Exchange(
+                    endpoint_exchange.Exchange(
                         b"id%d" % number,
                         b"",
                         lambda *_, completed=completed: completed.set_result(None),
@@ -415,6 +421,8 @@
         assert self.read_notices(head, self.LEAVING, b"\r\n") == []
 
     def test_handlers_are_dropped_with_the_end_of_the_exchange(self) -> None:
-        exchange = endpoint_client.Exchange(b"a", b"", lambda *_: None, lambda _: None)
+        exchange = endpoint_exchange.Exchange(
+            b"a", b"", lambda *_: None, lambda _: None
+        )
         exchange.complete(data.Outcome.ANSWERED)
         assert exchange.on_complete is None and exchange.on_notice is None
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_pool.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_pool.py
@@ -5,7 +5,7 @@
 from .. import data
 from ..crashes import crash_detector
 from ..ingress import body_budget
-from . import endpoint_client
+from . import endpoint_client, endpoint_exchange
 
 CONNECT_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 0.2
@@ -61,7 +61,7 @@
         """Whether any connection is open."""
         return bool(self._open)
 
-    def send(self, exchange: endpoint_client.Exchange) -> None:
+    def send(self, exchange: endpoint_exchange.Exchange) -> None:
         """Sends a request on an idle connection, or on a new one if there is none."""
         now = self._loop.time()
         connection = self._take_idle(exchange.request_id, now)
@@ -107,7 +107,7 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
-    def handle_lost(self, exchange: endpoint_client.Exchange) -> None:
+    def handle_lost(self, exchange: endpoint_exchange.Exchange) -> None:
         """Handles a request whose connection ended before its response."""
         self.crash_detector.handle_lost(exchange)
 
@@ -151,7 +151,7 @@
             self.release(connection)
         return False
 
-    async def _connect_and_send(self, exchange: endpoint_client.Exchange) -> None:
+    async def _connect_and_send(self, exchange: endpoint_exchange.Exchange) -> None:
         connecting = self._loop.create_connection(
             lambda: endpoint_client.EndpointConnection(self), self._host, self._port
         )
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/failing_callback_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/failing_callback_test.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from . import endpoint_client, endpoint_pool
+from . import endpoint_exchange, endpoint_pool
 from .endpoint_client_test import (
     HEADERS,
     OK_RESPONSE,
@@ -36,7 +36,7 @@
                 raise LookupError("handler")
 
             message = b"GET / HTTP/1.1\r\nHost: a\r\nx-id: id\r\n\r\n"
-            pool.send(endpoint_client.Exchange(b"id", message, fail))
+            pool.send(endpoint_exchange.Exchange(b"id", message, fail))
             assert type(await logged) is LookupError
             assert pool.budget.used_bytes == 0
             server.close()
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/local_endpoint.py
@@ -12,7 +12,7 @@
 from ..routing import call_graph, stop_deadline
 from . import (
     attempts,
-    endpoint_client,
+    endpoint_exchange,
     endpoint_pool,
     endpoint_queue,
     endpoint_tracker,
@@ -266,7 +266,7 @@
             current.instance.encode(),
         )
 
-        execution.exchange = endpoint_client.Exchange(
+        execution.exchange = endpoint_exchange.Exchange(
             attempt.request_id,
             message,
             functools.partial(self._finish, execution),
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/stale_response_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/stale_response_test.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from .. import data
-from . import endpoint_client, endpoint_pool
+from . import endpoint_exchange, endpoint_pool
 from .endpoint_client_test import (
     HEADERS,
     OK_RESPONSE,
@@ -124,7 +124,7 @@
                 completed = loop.create_future()
                 message = b"GET / HTTP/1.1\r\nHost: a\r\nx-id: id\r\n\r\n"
                 pool.send(
-                    endpoint_client.Exchange(
+                    endpoint_exchange.Exchange(
                         b"id",
                         message,
                         lambda outcome, *_, completed=completed: completed.set_result(
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/suspect_runs_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/suspect_runs_test.py
@@ -3,7 +3,7 @@
 import gc
 
 from ..crashes import crash, crash_history
-from . import attempts, endpoint_client, suspect_runs
+from . import attempts, endpoint_exchange, suspect_runs
 from .suspect_runs import Decision
 
 
@@ -16,7 +16,7 @@
         b"id", "look", "pay", 1, False, 2.0, 0.5, head, body, suspect_crashes
     )
     execution = attempts.Execution(attempt, lambda result: None)
-    execution.exchange = endpoint_client.Exchange(b"id", b"", lambda *_: None)
+    execution.exchange = endpoint_exchange.Exchange(b"id", b"", lambda *_: None)
     execution.deadline = 2.0
     return execution
 
