Tests of the hold at a start; a copy that is faster than the store is not written again

A departure that the store turns out to have is not handed out to new connections, and its recorder has one name.

--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/announcements.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/announcements.py
@@ -20,7 +20,7 @@
     """Applies announcements, records departures and acknowledges both.
 
     :param ip: IP address of this VM; endpoints elsewhere are not beside this node.
-    :param departures: records the departures of endpoints.
+    :param recorder: records the departures of endpoints.
     :param on_change: called when the endpoint or its state has changed.
     :param on_task_done: called when a task that writes a tombstone has ended.
     """
@@ -32,7 +32,7 @@
         platform: interfaces.Platform,
         tracker: endpoint_tracker.EndpointTracker,
         endpoint: local_endpoint.LocalEndpoint,
-        departures: departure_recorder.DepartureRecorder,
+        recorder: departure_recorder.DepartureRecorder,
         log: events.EventLog,
         on_change: Callable[[], None],
         on_task_done: Callable[[asyncio.Task], None],
@@ -42,7 +42,7 @@
         self._platform = platform
         self._tracker = tracker
         self._local_endpoint = endpoint
-        self._departures = departures
+        self._recorder = recorder
         self._log = log
         self._on_change = on_change
         self._on_task_done = on_task_done
@@ -96,7 +96,7 @@
             return
         self._tracker.mark_draining()
         self._apply_change(previous, previous, accepted=True)
-        self._add_task(self._departures.record(previous.instance, previous.start_ms))
+        self._add_task(self._recorder.record(previous.instance, previous.start_ms))
 
     def _complete_departure(self, announcement: data.Announcement) -> data.Announcement:
         """Adds the start to the departure of an endpoint that this node does not know.
@@ -117,7 +117,7 @@
     def restore_tombstones(self, record: node_record.NodeRecord) -> None:
         """Restores the tombstones that this node wrote before it restarted."""
         for instance, start_ms in record.tombstones:
-            if self._departures.restore(instance, start_ms):
+            if self._recorder.restore(instance, start_ms):
                 self._apply_tombstone(instance, start_ms)
 
     def handle_copy(self, address: str, copy: frames.DepartureCopy) -> None:
@@ -127,7 +127,7 @@
 
         :param address: address of the peer.
         """
-        if not self._departures.handle_copy(address, copy):
+        if not self._recorder.handle_copy(address, copy):
             return
         self._log.write(
             "announce",
@@ -161,7 +161,7 @@
         start_ms = announcement.start_ms
         if current is not None and current.instance == announcement.instance:
             start_ms = max(start_ms, current.start_ms)
-        if await self._departures.record(announcement.instance, start_ms):
+        if await self._recorder.record(announcement.instance, start_ms):
             acknowledge(connection)
             return
         self._log.write(
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/departure_recorder.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/departure_recorder.py
@@ -85,6 +85,7 @@
 
         :returns: whether it was not known.
         """
+        self._mark_stored(instance, start_ms)
         tombstones = self._store_watcher.tombstones
         if tombstones.get(instance, -1) >= start_ms:
             return False
@@ -171,10 +172,13 @@
 
     def _handle_record_written(self, record: node_record.NodeRecord) -> None:
         for instance, start_ms in record.tombstones:
-            departure = self._departures.get(instance)
-            if departure is not None and departure.start_ms <= start_ms:
-                departure.stored.set()
-                departure.kept.set()
+            self._mark_stored(instance, start_ms)
+
+    def _mark_stored(self, instance: str, start_ms: int) -> None:
+        departure = self._departures.get(instance)
+        if departure is not None and departure.start_ms <= start_ms:
+            departure.stored.set()
+            departure.kept.set()
 
 
 async def _wait(event: asyncio.Event, timeout_s: float) -> bool:
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/departure_recorder_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/departure_recorder_test.py
@@ -219,6 +219,15 @@
 
         play(test)
 
+    def test_copy_that_is_faster_than_the_store(self) -> None:
+        async def test(scene: Scene) -> None:
+            assert scene.hold_copy("10.0.0.1:1")
+            assert scene.recorder.get_unstored()
+            scene.recorder.restore(INSTANCE, START_MS)
+            assert not scene.recorder.get_unstored()
+
+        play(test)
+
     def test_departure_in_the_store_is_known(self) -> None:
         async def test(scene: Scene) -> None:
             assert scene.recorder.restore(INSTANCE, START_MS)
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_tracker_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_tracker_test.py
@@ -149,3 +149,32 @@
         tracker.mark_draining()
         tracker.apply(0.0, build_announcement(1, start_ms=9000))
         assert not tracker.is_leaving and tracker.is_accepting(0.0)
+
+
+class TestHold:
+    """A node that starts does not know yet which endpoints have left."""
+
+    def test_first_announcement_is_not_enough(self) -> None:
+        """A late announcement of an endpoint that left once got it requests."""
+        tracker = build_tracker()
+        tracker.hold()
+        tracker.apply(0.0, build_announcement(1))
+        assert tracker.is_held and not tracker.is_accepting(0.0)
+        tracker.release()
+        assert tracker.is_accepting(0.0)
+
+    def test_tombstone_that_is_learned_meanwhile_counts(self) -> None:
+        tracker = build_tracker()
+        tracker.hold()
+        tracker.apply(0.0, build_announcement(1))
+        tracker.add_tombstone("i-1", 1000)
+        tracker.release()
+        assert not tracker.is_accepting(0.0)
+        assert tracker.has_left(build_announcement(2))
+
+    def test_older_tombstone_does_not_replace_a_newer_one(self) -> None:
+        tracker = build_tracker()
+        tracker.add_tombstone("i-1", 2000)
+        tracker.add_tombstone("i-1", 1000)
+        assert tracker.has_left(build_announcement(1, start_ms=2000))
+        assert not tracker.has_left(build_announcement(1, start_ms=2001))
