The fakes of shutdown_test have the parts that a stop now reads

Cause: the shutdown answers the requests that its clients' connections still have; the fake server had strings in place of connections, and the fake forwarder no time of the end. Change: fakes with these attributes, every assertion as before, and a test that a request which is left is ended.

--- a/packages/catkintiller-relay/src/catkintiller_relay/shutdown_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/shutdown_test.py
@@ -12,14 +12,43 @@
 TIMEOUT_S = 10.0
 
 
+class FakeConnection:
+    """A connection of a client.
+
+    :ivar pending: request without a response, if any.
+    """
+
+    def __init__(self, pending: str | None = None) -> None:
+        self.pending = pending
+
+
+class FakeForwarder:
+    """Forwards nothing.
+
+    :ivar ended: requests that were ended without a response of an endpoint.
+    """
+
+    def __init__(self) -> None:
+        self.pending_count = 0
+        self.stopping = False
+        self.ends_at: float | None = None
+        self.ended: list[str] = []
+
+    def end_request(self, pending: str) -> None:
+        """Records that a request was ended."""
+        self.ended.append(pending)
+
+
 class FakeServer:
     """The server for clients; a connection ends when its response has been read.
 
     :ivar connections: connections whose responses have not been read.
+    :ivar idle_connection: a connection that may be closed at any time.
     """
 
     def __init__(self) -> None:
-        self.connections: set[str] = set()
+        self.connections: set[FakeConnection] = set()
+        self.idle_connection = FakeConnection()
         self.closing = False
         self.is_listening = True
 
@@ -29,7 +58,7 @@
 
     def close_idle(self) -> None:
         """Ends what is idle; what has not been read keeps a connection open."""
-        self.connections.discard("idle")
+        self.connections.discard(self.idle_connection)
 
 
 class Stop:
@@ -37,6 +66,7 @@
 
     def __init__(self) -> None:
         self.server = FakeServer()
+        self.forwarder = FakeForwarder()
         self.peer_server = types.SimpleNamespace(is_transferring_body=False)
         self._shutdown = shutdown.Shutdown(
             asyncio.get_running_loop(),
@@ -46,7 +76,7 @@
                 stopping=False,
                 lame_duck_ended=False,
             ),
-            types.SimpleNamespace(pending_count=0, stopping=False),
+            self.forwarder,
             self.server,
             self.peer_server,
             lambda: None,
@@ -101,7 +131,7 @@
         """A large response leaves the process after the request is answered."""
 
         async def check(stop: Stop) -> None:
-            stop.server.connections.add("slow")
+            stop.server.connections.add(FakeConnection())
             task = stop.begin()
             await run_steps()
             assert not task.done()
@@ -115,11 +145,12 @@
         """An idle connection must not delay the stop until the grace period ends."""
 
         async def check(stop: Stop) -> None:
-            stop.server.connections.add("slow")
+            slow_connection = FakeConnection()
+            stop.server.connections.add(slow_connection)
             task = stop.begin()
             await run_steps()
-            stop.server.connections.add("idle")
-            stop.server.connections.discard("slow")
+            stop.server.connections.add(stop.server.idle_connection)
+            stop.server.connections.discard(slow_connection)
             await task
 
         run(check)
@@ -129,3 +160,19 @@
             await stop.begin()
 
         run(check)
+
+
+class TestEnd:
+    """Requests that could not be served in time are answered."""
+
+    def test_pending_request_is_ended(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """The connection of such a request was closed without an answer."""
+        monkeypatch.setattr(shutdown, "KILL_MARGIN_S", GRACE_S)
+
+        async def check(stop: Stop) -> None:
+            stop.forwarder.pending_count = 1
+            stop.server.connections = {FakeConnection("late"), FakeConnection()}
+            await stop.begin()
+            assert stop.forwarder.ended == ["late"]
+
+        run(check)
