A response of which not all lines are held is not passed on

What callers would see: a response of 300 header lines that arrived in one read was passed on as complete, with the lines above the limit of 256 dropped.

Cause: lines above the limit are not held, and the limit is checked after the bytes of a read; a message that ends within that read was completed before.

Change: a message with too many lines is a broken answer when it ends, too. Related: a head of a client above its limit is answered 431 when it ends, so there it cannot happen.

--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endless_response_test.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endless_response_test.py
@@ -222,6 +222,27 @@
         assert [each.reasons for each in ended] == [[data.RefusalReason.NO_MEMORY]]
 
 
+class TestTooManyLines:
+    """A response whose lines were not all held is not passed on."""
+
+    @pytest.mark.parametrize("line_count", [255, 300])
+    def test_head_and_body_that_arrive_at_once(self, line_count: int) -> None:
+        """Lines above the limit were dropped, and the rest was passed on."""
+        carried = CarriedExchange(build_pool())
+        lines = b"X-More: 1\r\n" * line_count
+        carried.connection.data_received(HEAD + lines + b"Content-Length: 2\r\n\r\nhi")
+        assert carried.reasons == [data.RefusalReason.BROKEN_ANSWER]
+        assert carried.has_ended
+
+    def test_trailers_that_arrive_at_once(self) -> None:
+        carried = CarriedExchange(build_pool())
+        trailers = b"X-More: 1\r\n" * message_limits.MAX_HEADER_COUNT
+        carried.connection.data_received(
+            CHUNKED_HEAD + b"2\r\nhi\r\n0\r\n" + trailers + b"\r\n"
+        )
+        assert carried.reasons == [data.RefusalReason.BROKEN_ANSWER]
+
+
 class TestSoundResponses:
     """Responses that a sound endpoint may send are still passed on."""
 
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/endpoint_client.py
@@ -11,7 +11,7 @@
 import httptools
 
 from .. import data, part_buffer, sockets
-from ..ingress import body_budget, message_limits
+from ..ingress import body_budget
 from . import endpoint_exchange, response_meter, response_notices
 
 DEFAULT_IDLE_TIMEOUT_S = 4.0
@@ -183,7 +183,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Appends a header, or a trailer; those above the limit are not held."""
         self._meter.header_count += 1
-        if self._meter.header_count > message_limits.MAX_HEADER_COUNT:
+        if self._meter.has_too_many_headers:
             return
         lower_name = name.lower()
         if lower_name in self._interpreted_names:
@@ -234,10 +234,17 @@
         self._body.append(chunk)
 
     def on_message_complete(self) -> None:
-        """Completes the exchange unless the response is informational (1xx)."""
+        """Completes the exchange unless the response is informational (1xx).
+
+        A response whose lines were not all held is not passed on.
+        """
         if self._parser.get_status_code() < 200:
             self._head_complete = False
             return
+        if self._meter.has_too_many_headers:
+            self._fail(data.RefusalReason.BROKEN_ANSWER)
+            self.abort()
+            return
         self._complete(reusable=self._parser.should_keep_alive())
 
     def has_refused(self, request_id: bytes) -> bool:
--- a/packages/catkintiller-relay/src/catkintiller_relay/serving/response_meter.py
+++ b/packages/catkintiller-relay/src/catkintiller_relay/serving/response_meter.py
@@ -38,6 +38,11 @@
         self.header_count = 0
         self.stray_count = 0
 
+    @property
+    def has_too_many_headers(self) -> bool:
+        """Whether the last message has more lines than are held."""
+        return self.header_count > message_limits.MAX_HEADER_COUNT
+
     @property
     def is_excessive(self) -> bool:
         """Whether no sound endpoint would send what has arrived."""
@@ -45,7 +50,7 @@
         return (
             message_limits.is_overhead_excessive(self.received_bytes, content_bytes)
             or message_limits.are_parts_too_small(self.part_count, content_bytes)
-            or self.header_count > message_limits.MAX_HEADER_COUNT
+            or self.has_too_many_headers
             or self.stray_count > MAX_STRAY_COUNT
             or content_bytes > MAX_CONTENT_BYTES
         )
