--- a/review/lab2/stage.py
+++ b/review/lab2/stage.py
@@ -86,6 +86,7 @@
         self.silent = False
         self.changed_at = time.monotonic()  # last end of a disturbance
         self._topics = {}
+        self._never = asyncio.Event()
         self._news = asyncio.Condition()
         self._server = None
         self._writers = set()
@@ -115,16 +116,20 @@
             )
             self._news.notify_all()
 
+    async def put_config(self, config):
+        """Writes a config, as the operator does."""
+        await self.append("keyed.op", "config", json.dumps(config).encode())
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         try:
             while True:
                 method, target, _, body = await read_request(reader)
                 if self.silent:
-                    await asyncio.Event().wait()
+                    await self._never.wait()
                 status, content = await self._answer(target, body)
                 if self.silent:
-                    await asyncio.Event().wait()
+                    await self._never.wait()
                 writer.write(
                     b"HTTP/1.1 %d Status\r\nStore-Era: 1\r\nContent-Length: %d\r\n\r\n"
                     % (status, len(content)) + content
@@ -396,7 +401,7 @@
     async def start(self, config):
         """Starts store, endpoints and nodes; waits until all machines are ready."""
         await self.store.start()
-        await self.store.append("keyed.op", "config", json.dumps(config).encode())
+        await self.store.put_config(config)
         addresses = [machine.ip for machine in self.machines]
         names = ("inbound", "outbound", "readiness", "admin", "app", "inner")
         ports = {}
