--- a/review/lab2/stage.py
+++ b/review/lab2/stage.py
@@ -85,6 +85,8 @@
     def __init__(self):
         self.silent = False
         self.changed_at = time.monotonic()  # last end of a disturbance
+        self.late_writes_s = {}  # node: delay of its next write, whose answer is lost
+        self.late_write = None
         self._topics = {}
         self._never = asyncio.Event()
         self._news = asyncio.Condition()
@@ -127,6 +129,12 @@
                 method, target, _, body = await read_request(reader)
                 if self.silent:
                     await self._never.wait()
+                delay_s = self._pop_delay(target, body)
+                if delay_s is not None:
+                    asyncio.get_running_loop().call_later(
+                        delay_s, self._write_late, target, body
+                    )
+                    await self._never.wait()
                 status, content = await self._answer(target, body)
                 if self.silent:
                     await self._never.wait()
@@ -141,6 +149,23 @@
             self._writers.discard(writer)
             writer.transport.abort()
 
+    def contains(self, topic, key, text):
+        """Returns whether the newest record of a key contains a text."""
+        encoded = key.encode()
+        records = [each for each in self._topics.get(topic, [])
+                   if each[1 : 1 + each[0]] == encoded]
+        return bool(records) and text.encode() in records[-1]
+
+    def _pop_delay(self, target, body):
+        if not target.startswith("/log-append"):
+            return None
+        key = body[5 : 5 + body[4]].decode()
+        return self.late_writes_s.pop(key, None)
+
+    def _write_late(self, target, body):
+        self.changed_at = time.monotonic()
+        self.late_write = asyncio.ensure_future(self._answer(target, body))
+
     async def _answer(self, target, body):
         path, _, query = target.partition("?")
         values = dict(pair.split("=") for pair in query.split("&") if pair)
