--- a/review/lab2/stage.py
+++ b/review/lab2/stage.py
@@ -23,7 +23,6 @@
 MEMORY_MB = 300
 HEARTBEAT_S = 1.5
 DRAIN_S = 2.0
-GRACE_S = 6.0
 STABLE_WINDOW_S = 3.0
 BOUNDS = [
     "seedLag=3s", "reuseAfter=2s", "stableWindow=3000ms", "ack=4000ms", "sync_time=4s",
@@ -31,7 +30,6 @@
     "rollbackSlack=250ms", "maxSkew=5000ms", "retryBudgetRatio=0.2", "budgetWindow=10s",
     "budgetSlack=48", "recover=15s",
 ]
-ETHERNET_MSS = 1460  # loopback would otherwise use segments of 64 KB
 
 
 class Record:
@@ -393,17 +391,6 @@
         self.stage.record.write(f"node {self.name} gets {signal.Signals(number).name}")
         self.process.send_signal(number)
 
-    def read_memory_mb(self):
-        """Reads the memory that only this process holds; 0 if it has ended."""
-        try:
-            with open(f"/proc/{self.process.pid}/status") as stream:
-                for line in stream:
-                    if line.startswith("RssAnon:"):
-                        return int(line.split()[1]) / 1024
-        except OSError:
-            pass
-        return 0.0
-
     async def is_ready(self):
         return await call(self.ip, self.ports["readiness"], "GET", "/ready") == 200
 
@@ -442,7 +429,7 @@
                 while not await machine.is_ready():
                     await asyncio.sleep(0.1)
             await machine.endpoint.tell("PUT", machine.endpoint.build_ping())
-        await asyncio.sleep(0.5)
+        await asyncio.sleep(0.5)  # the nodes tell each other
 
     async def stop(self):
         for machine in self.machines:
