--- a/review/lab2/endless_endpoint.py
+++ b/review/lab2/endless_endpoint.py
@@ -11,8 +11,8 @@
 import stage as lab
 
 WORK_S = 0.05
-CHUNK_BYTES = 16
-CHUNKS_PER_WRITE = 3000
+CHUNK_BYTES = 8
+CHUNKS_PER_WRITE = 5000
 
 
 class EndlessEndpoint(lab.Endpoint):
