--- a/review/lab2/endless_endpoint.py
+++ b/review/lab2/endless_endpoint.py
@@ -1,7 +1,8 @@
 """An endpoint, as a process of its own, whose answers have no end for a while.
 
 Usage: endless_endpoint.py IP APP_PORT ADMIN_PORT SERVICE ZONE SLOTS BEGINS_AT ENDS_AT
-(times of the steady clock). The body then comes in small chunks until the caller closes.
+RECORD STARTED_AT (times of the steady clock). The body then comes in small chunks until
+the caller closes.
 """
 
 import asyncio
@@ -19,12 +20,14 @@
     """An endpoint that is in trouble between two times."""
 
     begins_at = ends_at = 0.0
+    record = None
 
     async def _serve(self, reader, writer):
         try:
             while True:
                 _, _, headers, _ = await lab.read_request(reader)
                 request_id = headers.get("request-id", "")
+                self.record.write(f"{request_id} runs at {self.instance}")
                 head = (
                     f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n"
                     f"Response-Signature: s.{request_id}\r\n"
@@ -45,12 +48,13 @@
 
 
 async def main():
-    ip, app, admin, service, zone, slots, begins_at, ends_at = sys.argv[1:]
+    ip, app, admin, service, zone, slots, begins_at, ends_at, *rest = sys.argv[1:]
     machine = lab.Machine(None, 0, zone, service)
     machine.ip = ip
     machine.ports = {"app": int(app), "admin": int(admin)}
     endpoint = EndlessEndpoint(machine, int(slots), WORK_S, lambda _: b"done")
     endpoint.begins_at, endpoint.ends_at = float(begins_at), float(ends_at)
+    endpoint.record = lab.Record(rest[0], float(rest[1]))
     await endpoint.start()
     await asyncio.Event().wait()
 
--- a/review/lab2/stage.py
+++ b/review/lab2/stage.py
@@ -35,9 +35,13 @@
 class Record:
     """Writes what was sent, answered and run, with seconds since the start."""
 
-    def __init__(self, folder):
-        self.started_at = time.monotonic()
-        self._stream = open(os.path.join(folder, "record.txt"), "w")
+    def __init__(self, path, started_at=None):
+        """Opens the file; with a time of start, one that another process writes, too."""
+        self.path = path
+        if started_at is None:
+            open(path, "w").close()
+        self.started_at = time.monotonic() if started_at is None else started_at
+        self._stream = open(path, "a")
 
     def write(self, text):
         print(f"{time.monotonic() - self.started_at:8.3f} {text}", file=self._stream,
@@ -289,6 +293,7 @@
                     )
                     continue
                 run = self.runs[request_id] = Run(request_id, target)
+                self.machine.stage.record.write(f"{request_id} runs at {self.instance}")
                 self.run_counts[request_id] = self.run_counts.get(request_id, 0) + 1
                 await asyncio.sleep(self._work_s)
                 content = self._answer(target)
@@ -399,7 +404,7 @@
     """A small deployment."""
 
     def __init__(self, folder):
-        self.record = Record(folder)
+        self.record = Record(os.path.join(folder, "record.txt"))
         self._temporary = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = self._temporary.name
         self.store = Store()
